--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,115 @@
+"""Show both example deployments under a small mixed load."""
+
+import random
+import sys
+
+import uvloop
+
+from bench.cluster import Cluster, deployment, running
+from bench.load import Answer, Job, Target, play
+from bench.summary import print_table, summarise
+
+SECONDS = 10
+ENTRIES = 3
+SEED = 7
+
+
+def demo() -> int:
+    """Run both deployments and return the number of broken answers."""
+    broken = 0
+    for name, classes in (
+        (
+            'fieltro-lanera',
+            (
+                ('counter', 'engine', 6.0, 20),
+                ('order', 'service', 4.0, 0),
+                ('stock', 'service', 4.0, 0),
+                ('summary', 'engine', 1.0, 120),
+                ('pattern', 'engine', 2.0, 250),
+            ),
+        ),
+        (
+            'bombas-cavalcanti',
+            (
+                ('technician', 'engine', 6.0, 20),
+                ('parts', 'service', 4.0, 0),
+                ('workorder', 'service', 4.0, 0),
+                ('quotation', 'engine', 1.0, 120),
+                ('report', 'engine', 2.0, 250),
+            ),
+        ),
+    ):
+        with running(deployment(name, ENTRIES)) as cluster:
+            answers = _load(cluster, classes)
+            sys.stdout.write(f'\n{name}, {ENTRIES} entry instances\n')
+            rows = summarise(answers, cluster.plan.tree)
+            print_table(rows)
+            broken += _count_broken(cluster, answers)
+    sys.stdout.write(f'\nlost, crossed, cut or doubled: {broken}\n')
+    return broken
+
+
+def _load(cluster: Cluster, classes) -> list[Answer]:
+    chance = random.Random(SEED)
+    workspaces = sorted(cluster.keys)
+    jobs = []
+    for leaf, kind, per_s, tokens in classes:
+        at_s = chance.expovariate(per_s)
+        while at_s < SECONDS:
+            jobs.append(
+                Job(
+                    at_s,
+                    chance.choice(workspaces),
+                    leaf,
+                    kind,
+                    max(1, int(tokens * chance.uniform(0.5, 1.5))),
+                    'size of slippers? ' * 8,
+                ),
+            )
+            at_s += chance.expovariate(per_s)
+    return uvloop.run(play(number_jobs(jobs), target_of(cluster)))
+
+
+def number_jobs(jobs: list[Job]) -> list[Job]:
+    """Return jobs in the order of their times, each with its number."""
+    ordered = sorted(jobs, key=lambda job: job.at_s)
+    return [
+        Job(
+            job.at_s,
+            job.workspace,
+            job.leaf,
+            job.kind,
+            job.tokens,
+            job.prompt,
+            number,
+            job.stream,
+        )
+        for number, job in enumerate(ordered)
+    ]
+
+
+def target_of(cluster: Cluster, seed: int = 0) -> Target:
+    """Return where callers of a cluster connect, as they are told."""
+    addresses = []
+    for entry in cluster.entries:
+        answer = cluster.http.request(
+            'GET',
+            f'http://{entry.callers}/address?zone={entry.zone}',
+            timeout=5,
+        ).json()
+        addresses.append(answer['addresses'][0]['address'])
+    model = cluster.http.request(
+        'GET',
+        f'http://{cluster.entries[0].callers}/v1/models',
+        timeout=5,
+    ).json()['data'][0]['id']
+    return Target(sorted(set(addresses)), cluster.keys, model, seed)
+
+
+def _count_broken(cluster: Cluster, answers: list[Answer]) -> int:
+    broken = sum(bool(answer.fault) for answer in answers)
+    runs: dict[str, int] = {}
+    for name in cluster.plan.services:
+        for run in cluster.read(name, '/log'):
+            runs[run['body']] = runs.get(run['body'], 0) + 1
+    return broken + sum(count - 1 for count in runs.values())
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,263 @@
+"""Send a trace of requests, open loop, and check every answer."""
+
+import asyncio
+import random
+import time
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+import httptools
+import orjson
+
+PATIENCE_S = 180.0
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """Describe one request of a trace.
+
+    :param at_s: when it is sent, from the start of the trace.
+    :param kind: ``engine`` or ``service``.
+    :param tokens: length of the answer, which the router does not see.
+    """
+
+    at_s: float
+    workspace: str
+    leaf: str
+    kind: str
+    tokens: int
+    prompt: str
+    number: int = 0
+    stream: bool = True
+
+
+@dataclass(slots=True)
+class Answer:
+    """Hold what came of one job; times are seconds of the caller's clock."""
+
+    number: int
+    leaf: str
+    sent_s: float = 0.0
+    first_s: float = 0.0
+    end_s: float = 0.0
+    status: int = 0
+    code: int = 0
+    ran: str = ''
+    tokens: int = 0
+    fault: str = ''
+    request_id: str = ''
+    retry_after_ms: int = 0
+
+    @property
+    def whole(self) -> bool:
+        """Return whether the caller got its whole answer."""
+        return self.status == 200 and not self.fault and not self.code
+
+
+class _Exchange(asyncio.Protocol):
+    """Own one connection to an entry for one request at a time."""
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.done: asyncio.Future | None = None
+        self.body = bytearray()
+        self.headers: dict[str, str] = {}
+        self.status = 0
+        self.first_s = 0.0
+        self.whole = False
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+
+    def connection_lost(self, exc) -> None:
+        self._end()
+
+    def ask(self, request: bytes) -> asyncio.Future:
+        self.done = asyncio.get_running_loop().create_future()
+        self.body = bytearray()
+        self.headers = {}
+        self.status = 0
+        self.first_s = 0.0
+        self.whole = False
+        self.transport.write(request)
+        return self.done
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.abort()
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        self.headers[name.decode().lower()] = text.decode()
+
+    def on_headers_complete(self) -> None:
+        self.status = self.parser.get_status_code()
+
+    def on_body(self, body: bytes) -> None:
+        if not self.first_s:
+            self.first_s = time.monotonic()
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        self.whole = True
+        if not self.parser.should_keep_alive():
+            self.transport.close()
+        self._end()
+
+    def _end(self) -> None:
+        if self.done is not None and not self.done.done():
+            self.done.set_result(None)
+
+
+@dataclass(slots=True)
+class Target:
+    """Hold where callers connect and with which keys."""
+
+    addresses: Sequence[str]
+    keys: dict[str, str]
+    model: str
+    seed: int = 0
+    kept: dict[str, list[_Exchange]] = field(default_factory=dict)
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+async def play(jobs: Sequence[Job], target: Target) -> list[Answer]:
+    """Send each job at its time and return all answers."""
+    chance = random.Random(target.seed)
+    start_s = time.monotonic()
+    tasks = []
+    for job in jobs:
+        wait_s = start_s + job.at_s - time.monotonic()
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+        address = chance.choice(target.addresses)
+        tasks.append(asyncio.ensure_future(send(job, target, address)))
+    return await asyncio.gather(*tasks)
+
+
+async def send(job: Job, target: Target, address: str) -> Answer:
+    """Send one job and check its answer."""
+    answer = Answer(job.number, job.leaf)
+    answer.sent_s = time.monotonic()
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            exchange = await _connect(target, address)
+            await exchange.ask(_request(job, target))
+    except (OSError, TimeoutError) as error:
+        answer.fault = f'no answer: {type(error).__name__}'
+        answer.end_s = time.monotonic()
+        return answer
+    answer.end_s = time.monotonic()
+    answer.first_s = exchange.first_s
+    _check(job, exchange, answer)
+    if exchange.whole and not exchange.transport.is_closing():
+        target.kept.setdefault(address, []).append(exchange)
+    return answer
+
+
+async def _connect(target: Target, address: str) -> _Exchange:
+    kept = target.kept.get(address, [])
+    while kept:
+        exchange = kept.pop()
+        if not exchange.transport.is_closing():
+            return exchange
+    host, port = address.rsplit(':', 1)
+    loop = asyncio.get_running_loop()
+    _, exchange = await loop.create_connection(_Exchange, host, int(port))
+    return exchange
+
+
+def _request(job: Job, target: Target) -> bytes:
+    seed = f's{target.seed}n{job.number}'
+    headers = {
+        'Host': 'siskinpass',
+        'Authorization': f'Bearer {target.keys[job.workspace]}',
+        'X-Siskinpass-Class': job.leaf,
+        'Content-Type': 'application/json',
+        **target.headers,
+    }
+    if job.kind == 'service':
+        path = '/v1/services/app/orders'
+        body = orjson.dumps({'order': seed})
+        headers['Idempotency-Key'] = seed
+    else:
+        path = '/v1/completions'
+        body = orjson.dumps({
+            'model': target.model,
+            'prompt': job.prompt,
+            'stream': job.stream,
+            'metadata': {'tokens': job.tokens, 'seed': seed},
+        })
+    headers['Content-Length'] = str(len(body))
+    lines = [f'POST {path} HTTP/1.1']
+    lines.extend(f'{name}: {text}' for name, text in headers.items())
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode() + body
+
+
+def _check(job: Job, exchange: _Exchange, answer: Answer) -> None:
+    answer.status = exchange.status
+    headers = exchange.headers
+    answer.code = int(headers.get('x-siskinpass-code', 0))
+    answer.ran = headers.get('x-siskinpass-ran', '')
+    answer.request_id = headers.get('x-request-id', '')
+    answer.retry_after_ms = int(headers.get('retry-after-ms', 0))
+    body = bytes(exchange.body)
+    if b'event: error\n' in body:
+        tail = body.rsplit(b'event: error\ndata: ', 1)[1]
+        answer.code = orjson.loads(tail)['error']['code']
+        return
+    if not exchange.whole:
+        answer.fault = 'cut'
+    elif answer.code:
+        return
+    elif job.kind == 'service':
+        sent = orjson.loads(body).get('sent', '')
+        if f'n{job.number}"' not in sent:
+            answer.fault = 'crossed'
+    else:
+        answer.fault = _check_tokens(job, body, answer)
+
+
+def _check_tokens(job: Job, body: bytes, answer: Answer) -> str:
+    if job.stream:
+        events = body.split(b'\n\n')
+        if events[-2:] != [b'data: [DONE]', b'']:
+            return 'cut'
+        texts = [
+            orjson.loads(event[6:])['choices'][0]['text']
+            for event in events[:-2]
+        ]
+    else:
+        text = orjson.loads(body)['choices'][0]['text']
+        texts = [f'{token} ' for token in text.split()]
+    answer.tokens = len(texts)
+    wanted = [f'n{job.number}-{index} ' for index in range(job.tokens)]
+    found = [text[text.index('n') :] for text in texts]
+    if found == wanted:
+        return ''
+    return _name_fault(found, wanted)
+
+
+def _name_fault(found: list[str], wanted: list[str]) -> str:
+    if set(found) - set(wanted):
+        return 'crossed'
+    if len(set(found)) < len(found):
+        return 'doubled'
+    return 'cut' if len(found) < len(wanted) else 'disordered'
+
+
+def dump_jobs(jobs: Sequence[Job]) -> bytes:
+    """Return a trace as JSON lines."""
+    return b''.join(orjson.dumps(asdict(job)) + b'\n' for job in jobs)
+
+
+def load_jobs(text: bytes) -> list[Job]:
+    """Read a trace from JSON lines."""
+    return [Job(**orjson.loads(line)) for line in text.splitlines()]
+
+
+def as_row(answer: Answer) -> dict[str, Any]:
+    """Return an answer as plain fields."""
+    return {**asdict(answer), 'whole': answer.whole}
--- /dev/null
+++ b/bench/summary.py
@@ -0,0 +1,124 @@
+"""Summarise answers per request class."""
+
+import statistics
+import sys
+from collections import Counter
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from bench.load import Answer
+from siskinpass.version.document import parse_tree
+from siskinpass.version.schema import Promise
+
+ROW = '{:<12}{:>5}{:>7}{:>7}{:>8}{:>10}{:>10}{:>10}  {}\n'
+
+
+def promises(tree: Path) -> dict[str, Promise]:
+    """Return the promise of each class name of a tree."""
+    parsed = parse_tree(tree.read_text())
+    found = {}
+    for name, branch in parsed.workspaces.items():
+        for leaf in branch.classes:
+            found[leaf] = parsed.promise(name, leaf)
+    return found
+
+
+def met(answer: Answer, promise: Promise) -> bool:
+    """Tell whether an answer met the targets of its class."""
+    if not answer.whole:
+        return False
+    first_ms = (answer.first_s - answer.sent_s) * 1000
+    if answer.tokens > 1:
+        gap_ms = (answer.end_s - answer.first_s) * 1000 / (answer.tokens - 1)
+    else:
+        gap_ms = 0.0
+    return first_ms <= promise.first_token_ms and gap_ms <= promise.token_ms
+
+
+def summarise(answers: Sequence[Answer], tree: Path) -> list[dict[str, Any]]:
+    """Return one row per class, the most urgent first."""
+    known = promises(tree)
+    rows = []
+    for leaf in sorted(known, key=lambda name: (known[name].tier, name)):
+        own = [answer for answer in answers if answer.leaf == leaf]
+        if own:
+            rows.append(_row(leaf, own, known[leaf]))
+    return rows
+
+
+def _row(
+    leaf: str,
+    own: Sequence[Answer],
+    promise: Promise,
+) -> dict[str, Any]:
+    firsts = sorted(
+        (answer.first_s - answer.sent_s) * 1000
+        for answer in own
+        if answer.whole
+    )
+    codes = Counter(answer.code for answer in own if answer.code)
+    faults = Counter(answer.fault for answer in own if answer.fault)
+    whole = [answer for answer in own if answer.whole]
+    return {
+        'class': leaf,
+        'tier': promise.tier,
+        'sent': len(own),
+        'whole': len(whole),
+        'met': sum(met(answer, promise) for answer in own),
+        'attainment': sum(met(answer, promise) for answer in own) / len(own),
+        'tokens': sum(answer.tokens for answer in whole),
+        'first_ms_p50': quantile(firsts, 0.5),
+        'first_ms_p95': quantile(firsts, 0.95),
+        'first_ms_p99': quantile(firsts, 0.99),
+        'codes': {str(code): count for code, count in codes.items()},
+        'faults': dict(faults),
+    }
+
+
+def quantile(ordered: Sequence[float], fraction: float) -> float:
+    """Return a quantile of ordered figures, 0 where there are none."""
+    if not ordered:
+        return 0.0
+    if len(ordered) == 1:
+        return ordered[0]
+    cuts = statistics.quantiles(ordered, n=200, method='inclusive')
+    return cuts[min(198, max(0, round(fraction * 200) - 1))]
+
+
+def print_table(rows: Sequence[dict[str, Any]]) -> None:
+    """Print one line per class."""
+    write = sys.stdout.write
+    write(
+        ROW.format(
+            'class',
+            'tier',
+            'sent',
+            'whole',
+            'met',
+            'p50 ms',
+            'p95 ms',
+            'p99 ms',
+            'refused by code',
+        ),
+    )
+    for row in rows:
+        refused = ' '.join(
+            f'{code}:{count}' for code, count in row['codes'].items()
+        )
+        faults = ' '.join(
+            f'{fault}:{count}' for fault, count in row['faults'].items()
+        )
+        write(
+            ROW.format(
+                row['class'],
+                row['tier'],
+                row['sent'],
+                row['whole'],
+                f'{row["attainment"]:.1%}',
+                f'{row["first_ms_p50"]:.0f}',
+                f'{row["first_ms_p95"]:.0f}',
+                f'{row["first_ms_p99"]:.0f}',
+                f'{refused} {faults}'.strip() or '-',
+            ),
+        )
--- /dev/null
+++ b/src/siskinpass/__init__.py
@@ -0,0 +1,46 @@
+"""Route language-model traffic with priorities and service levels.
+
+The coordination parts are pure: events and a clock go in, commands come out.
+They can be embedded without the daemon.
+"""
+
+from siskinpass.codes import MEANINGS, Code, Ran
+from siskinpass.exceptions import SiskinpassError
+from siskinpass.process.breach import BreachPolicy, BreachWatch
+from siskinpass.process.broker import Broker, BrokerPolicy
+from siskinpass.process.lease import LeaseLogic, LeaseRecord
+from siskinpass.process.limits import LimitPolicy, SlotLimit
+from siskinpass.process.membership import Member, Membership, MembershipPolicy
+from siskinpass.request.claim import Claim, ClaimState, judge
+from siskinpass.request.retry import RetryBudget
+from siskinpass.request.stream import TokenTap
+from siskinpass.request.ticket import ServerView, Ticket
+from siskinpass.version.document import parse_tree
+from siskinpass.version.schema import Tree
+
+__all__ = [
+    'MEANINGS',
+    'BreachPolicy',
+    'BreachWatch',
+    'Broker',
+    'BrokerPolicy',
+    'Claim',
+    'ClaimState',
+    'Code',
+    'LeaseLogic',
+    'LeaseRecord',
+    'LimitPolicy',
+    'Member',
+    'Membership',
+    'MembershipPolicy',
+    'Ran',
+    'RetryBudget',
+    'ServerView',
+    'SiskinpassError',
+    'SlotLimit',
+    'Ticket',
+    'TokenTap',
+    'Tree',
+    'judge',
+    'parse_tree',
+]
--- /dev/null
+++ b/src/siskinpass/cli.py
@@ -0,0 +1,40 @@
+"""Run the daemon and speak to it from the command line."""
+
+import sys
+from typing import Annotated
+
+import cyclopts
+from cyclopts import App, Parameter
+
+from siskinpass.cli_status import status
+from siskinpass.cli_tree import key_command, tree_app
+from siskinpass.exceptions import SiskinpassError
+from siskinpass.process.serve import serve
+from siskinpass.process.settings import Settings, check_settings
+
+app = App(
+    name='siskinpass',
+    help='Route language-model traffic with priorities and service levels.',
+    config=cyclopts.config.Env('SISKINPASS_', command=False),
+)
+app.command(tree_app)
+app.command(key_command, name='key')
+app.command(status, name='status')
+
+
+@app.command(name='serve')
+def serve_command(
+    settings: Annotated[Settings, Parameter(name='*')],
+) -> None:
+    """Run one entry instance until it is told to leave."""
+    check_settings(settings)
+    serve(settings)
+
+
+def main() -> None:
+    """Run the command line; exit with 2 where something is wrong."""
+    try:
+        app()
+    except SiskinpassError as error:
+        sys.stderr.write(f'siskinpass: {int(error.code)} {error}\n')
+        sys.exit(2)
--- /dev/null
+++ b/src/siskinpass/cli_client.py
@@ -0,0 +1,76 @@
+"""Speak to the operators' side of an instance."""
+
+import os
+from dataclasses import dataclass
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from siskinpass.codes import Code
+from siskinpass.exceptions import SiskinpassError, StoreError
+
+TIMEOUT_S = 20.0
+STATUS_OK = 200
+OPERATOR_HEADER = 'X-Siskinpass-Operator-Key'
+
+
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """Hold where an operator connects and what they show.
+
+    :param instance: address of an instance's operators' side, with
+        ``http://`` or ``https://`` before it where that matters.
+    :param operator_key: key of the operators' side.
+    :param authority: certificate file to trust for ``https``.
+    """
+
+    instance: str = '127.0.0.1:8081'
+    operator_key: str = ''
+    authority: str = ''
+
+    def call(self, method: str, path: str, body: bytes = b'') -> Any:
+        """Call a page and return its JSON.
+
+        :raises SiskinpassError: with the code that the instance told.
+        """
+        http = urllib3.PoolManager(ca_certs=self.authority or None)
+        base = self.instance
+        if '://' not in base:
+            base = f'http://{base}'
+        key = self.operator_key or os.environ.get(
+            'SISKINPASS_OPERATOR_KEY',
+            '',
+        )
+        try:
+            answer = http.request(
+                method,
+                f'{base}/{path}',
+                body=body or None,
+                headers={OPERATOR_HEADER: key},
+                timeout=TIMEOUT_S,
+                retries=False,
+            )
+        except HTTPError as error:
+            raise StoreError(
+                Code.backend_unreachable,
+                f'no answer from {self.instance}: {error}',
+            ) from error
+        document = answer.json()
+        if answer.status != STATUS_OK:
+            raise _told_error(document)
+        return document
+
+
+class ToldError(SiskinpassError):
+    """An instance answered with a numbered error."""
+
+
+def _told_error(document: Any) -> ToldError:
+    error = document['error']
+    detail = error['message']
+    for change in error.get('changed', ()):
+        detail += (
+            f'\n  {change["path"]}: {change["old"]!r} -> {change["new"]!r}'
+        )
+    return ToldError(Code(error['code']), detail)
--- /dev/null
+++ b/src/siskinpass/cli_tree.py
@@ -0,0 +1,186 @@
+"""Edit the settings tree from the command line."""
+
+import os
+import sys
+from pathlib import Path
+from typing import Annotated, Any
+
+import orjson
+import yaml
+from cyclopts import App, Parameter
+
+from siskinpass.cli_client import Operator
+from siskinpass.version.document import dump_tree, parse_tree
+from siskinpass.version.edit import get_node, set_leaf
+from siskinpass.version.keys import make_key
+
+tree_app = App(name='tree', help='Read and edit the settings tree.')
+
+OperatorArgs = Annotated[Operator, Parameter(name='*')]
+DEFAULT = Operator()
+BASE_LINE = '# version '
+
+
+def show(document: Any, *, json: bool) -> None:
+    """Print a document as YAML, or as JSON."""
+    if json:
+        text = orjson.dumps(document, option=orjson.OPT_INDENT_2).decode()
+    else:
+        text = yaml.safe_dump(document, sort_keys=False).rstrip()
+    sys.stdout.write(f'{text}\n')
+
+
+@tree_app.command
+def get(
+    path: str = '',
+    *,
+    version: int = 0,
+    operator: OperatorArgs = DEFAULT,
+    json: bool = False,
+) -> None:
+    """Print the tree, or the node at a path, of a version."""
+    page = f'tree/{version}' if version else 'tree'
+    answer = operator.call('GET', page)
+    show(get_node(answer['tree'], path), json=json)
+
+
+@tree_app.command(name='set')
+def set_command(
+    path: str,
+    leaf: str,
+    *,
+    operator: OperatorArgs = DEFAULT,
+    author: str = '',
+    message: str = '',
+    json: bool = False,
+) -> None:
+    """Set one setting; the word ``null`` removes it."""
+    answer = operator.call('GET', 'tree')
+    tree = answer['tree']
+    set_leaf(tree, path, yaml.safe_load(leaf))
+    message = message or f'set {path}'
+    _propose(operator, answer['version'], tree, author, message, json=json)
+
+
+@tree_app.command
+def apply(
+    file: Path,
+    *,
+    base: int | None = None,
+    operator: OperatorArgs = DEFAULT,
+    author: str = '',
+    message: str = '',
+    json: bool = False,
+) -> None:
+    """Put the tree of a file in force.
+
+    With ``--base`` only what the file changes from that version is applied,
+    on top of what others changed meanwhile.
+    """
+    text = file.read_text()
+    parse_tree(text)
+    if base is None:
+        base = operator.call('GET', 'tree')['version']
+    _propose(operator, base, text, author, message, json=json)
+
+
+@tree_app.command
+def edit(
+    file: Path,
+    *,
+    operator: OperatorArgs = DEFAULT,
+    author: str = '',
+    message: str = '',
+    json: bool = False,
+) -> None:
+    """Write the tree to a new file, or apply the changes made in that file.
+
+    The first line of the file names the version that it was taken from, so
+    that only the operator's own changes are applied.
+    """
+    if file.exists():
+        first, _, text = file.read_text().partition('\n')
+        base = int(first.removeprefix(BASE_LINE))
+        parse_tree(text)
+        _propose(operator, base, text, author, message, json=json)
+        return
+    answer = operator.call('GET', 'tree')
+    text = yaml.safe_dump(answer['tree'])
+    file.write_text(f'{BASE_LINE}{answer["version"]}\n{text}')
+    sys.stdout.write(f'Change {file} and run the same command again.\n')
+
+
+@tree_app.command
+def check(file: Path) -> None:
+    """Check a file and print it as it would be stored."""
+    sys.stdout.write(dump_tree(parse_tree(file.read_text())))
+
+
+@tree_app.command
+def diff(
+    old: int,
+    new: int,
+    *,
+    operator: OperatorArgs = DEFAULT,
+    json: bool = False,
+) -> None:
+    """Print what changed from one version to another."""
+    changes = operator.call('GET', f'diff?old={old}&new={new}')
+    show(changes, json=json)
+
+
+@tree_app.command
+def history(
+    *,
+    operator: OperatorArgs = DEFAULT,
+    json: bool = False,
+) -> None:
+    """Print the latest edits."""
+    show(operator.call('GET', 'history'), json=json)
+
+
+@tree_app.command
+def rollback(
+    version: int,
+    *,
+    operator: OperatorArgs = DEFAULT,
+    author: str = '',
+    json: bool = False,
+) -> None:
+    """Put an earlier tree in force as a new, higher version."""
+    current = operator.call('GET', 'tree')['version']
+    tree = operator.call('GET', f'tree/{version}')['tree']
+    message = f'rollback to {version}'
+    _propose(operator, current, tree, author, message, json=json)
+
+
+def key_command(*, default_class: str = '', json: bool = False) -> None:
+    """Make an API key and print it with the entry for the tree."""
+    key, entry = make_key(default_class)
+    document = {
+        'key': key,
+        'entry': {
+            'salt': entry.salt,
+            'digest': entry.digest,
+            'default_class': entry.default_class,
+        },
+    }
+    show(document, json=json)
+
+
+def _propose(
+    operator: Operator,
+    base: int,
+    tree: Any,
+    author: str,
+    message: str,
+    *,
+    json: bool,
+) -> None:
+    body = orjson.dumps({
+        'base': base,
+        'tree': tree,
+        'author': author or os.environ.get('USER', ''),
+        'message': message,
+    })
+    show(operator.call('PUT', 'tree', body), json=json)
--- /dev/null
+++ b/src/siskinpass/connection/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what lives for one connection."""
--- /dev/null
+++ b/src/siskinpass/connection/caller.py
@@ -0,0 +1,241 @@
+"""Own one caller's connection."""
+
+import asyncio
+from collections.abc import Callable
+
+from siskinpass.codes import Code
+from siskinpass.connection.parsing import HEADER_BYTES_MOST, Parsed
+from siskinpass.connection.sockets import tune_socket
+from siskinpass.exceptions import RequestError
+from siskinpass.request.answer import error_answer
+from siskinpass.request.head import BodyNeeded, PageAnswer, RequestHead
+
+HEAD_END = b'\r\n\r\n'
+HEAD_TIMEOUT_S = 5.0
+BODY_TIMEOUT_S = 10.0
+IDLE_TIMEOUT_S = 60.0
+BODY_BYTES_MOST = 4_194_304
+PIPELINED_BYTES_MOST = 65_536
+WRITE_BYTES_HIGH = 262_144
+CHUNKS_END = b'0\r\n\r\n'
+
+Parse = Callable[[bytes, str, Callable[[Parsed], None]], None]
+Serve = Callable[['CallerConnection', RequestHead], None]
+
+
+class CallerConnection(asyncio.Protocol):
+    """Read requests and write answers, one after the other.
+
+    :param parse: parses one head on a request thread.
+    :param serve: starts the relay of a parsed request.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        parse: Parse,
+        serve: Serve,
+    ) -> None:
+        """Wait for the connection."""
+        self._loop = loop
+        self._parse = parse
+        self._serve = serve
+        self._arrived = bytearray()
+        self._busy = False
+        self._wanted = 0
+        self._body: asyncio.Future[bytes] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._reading = True
+        self.on_lost: Callable[[], None] | None = None
+        self.on_flow: Callable[[bool], None] | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the caller can still be answered."""
+        return not self._transport.is_closing()
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is being answered."""
+        return not self._busy
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to wait for a head."""
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_BYTES_HIGH)
+        tune_socket(transport)
+        self._set_timer(IDLE_TIMEOUT_S)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell whoever answers that the caller went away."""
+        self._clear_timer()
+        if self._body is not None and not self._body.done():
+            self._body.set_exception(RequestError(Code.body_cut_short))
+        if self.on_lost is not None:
+            self.on_lost()
+
+    def eof_received(self) -> bool:
+        """Answer a request cut short; a whole one is still answered."""
+        if self._body is not None and not self._body.done():
+            self._body.set_exception(RequestError(Code.body_cut_short))
+            return True
+        if self._arrived and not self._busy:
+            self.write(error_answer(Code.body_cut_short))
+        return self._busy
+
+    def data_received(self, piece: bytes) -> None:
+        """Take in bytes and look for a whole head or body."""
+        if not self._arrived and not self._busy:
+            self._set_timer(HEAD_TIMEOUT_S)
+        self._arrived += piece
+        if self._body is not None:
+            self._look_for_body()
+        elif not self._busy:
+            self._look_for_head()
+        elif len(self._arrived) > PIPELINED_BYTES_MOST:
+            self._reading = False
+            self._transport.pause_reading()
+
+    def pause_writing(self) -> None:
+        """Slow down whoever answers."""
+        if self.on_flow is not None:
+            self.on_flow(False)
+
+    def resume_writing(self) -> None:
+        """Let whoever answers go on."""
+        if self.on_flow is not None:
+            self.on_flow(True)
+
+    def read_body(self, length: int) -> asyncio.Future[bytes]:
+        """Return a future of the body.
+
+        It fails with a :exc:`RequestError` for a body that is too large,
+        cut short or too slow.
+        """
+        self._body = self._loop.create_future()
+        self._wanted = length
+        if length > BODY_BYTES_MOST:
+            self._body.set_exception(RequestError(Code.body_too_large))
+        else:
+            self._set_timer(BODY_TIMEOUT_S)
+            self._look_for_body()
+        return self._body
+
+    def write(self, wire: bytes) -> None:
+        """Send bytes to the caller."""
+        self._transport.write(wire)
+
+    def write_chunk(self, piece: bytes) -> None:
+        """Send one chunk of a streamed answer."""
+        self._transport.write(b'%x\r\n%b\r\n' % (len(piece), piece))
+
+    def finish(self, *, keep_alive: bool) -> None:
+        """End an answer; close, or go on to the next request."""
+        self.on_lost = None
+        self.on_flow = None
+        self._body = None
+        if not keep_alive:
+            self._transport.close()
+            return
+        self._busy = False
+        self._set_timer(IDLE_TIMEOUT_S)
+        if not self._reading:
+            self._reading = True
+            self._transport.resume_reading()
+        if self._arrived:
+            self._look_for_head()
+
+    def close(self) -> None:
+        """Close once all that was written is sent."""
+        self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        self._transport.abort()
+
+    def abort_after_write(self) -> None:
+        """Close without the last chunk, so that a cut is seen as cut."""
+        self.on_lost = None
+        self.on_flow = None
+        self._transport.close()
+
+    def _look_for_head(self) -> None:
+        end = self._arrived.find(HEAD_END)
+        if end >= 0:
+            self._start(end + len(HEAD_END))
+        elif len(self._arrived) > HEADER_BYTES_MOST:
+            self._refuse(Code.header_too_large)
+
+    def _start(self, head_length: int) -> None:
+        self._busy = True
+        self._clear_timer()
+        head = bytes(self._arrived[:head_length])
+        del self._arrived[:head_length]
+        self._ask_parser(head)
+
+    def _ask_parser(self, arrived: bytes) -> None:
+        loop = self._loop
+        remote = self._transport.get_extra_info('peername')
+
+        def reply(parsed: Parsed) -> None:  # noqa: WPS430
+            loop.call_soon_threadsafe(self._take_parsed, arrived, parsed)
+
+        self._parse(arrived, remote[0] if remote else '', reply)
+
+    def _take_parsed(self, head: bytes, parsed: Parsed) -> None:
+        if not self.is_open:
+            return
+        if isinstance(parsed, RequestHead):
+            self._serve(self, parsed)
+        elif isinstance(parsed, BodyNeeded):
+            body = self.read_body(parsed.length)
+            body.add_done_callback(
+                lambda done: self._take_page_body(head, done),
+            )
+        else:
+            self._answer_page(parsed)
+
+    def _take_page_body(
+        self,
+        head: bytes,
+        done: asyncio.Future[bytes],
+    ) -> None:
+        self._body = None
+        error = done.exception()
+        if error is None:
+            self._ask_parser(head + done.result())
+        elif isinstance(error, RequestError):
+            self._refuse(error.code)
+
+    def _answer_page(self, page: PageAnswer) -> None:
+        self.write(page.wire)
+        self.finish(keep_alive=page.keep_alive)
+
+    def _look_for_body(self) -> None:
+        if self._body.done() or len(self._arrived) < self._wanted:
+            return
+        self._clear_timer()
+        body = bytes(self._arrived[: self._wanted])
+        del self._arrived[: self._wanted]
+        self._body.set_result(body)
+
+    def _refuse(self, code: Code) -> None:
+        self.write(error_answer(code))
+        self._transport.close()
+
+    def _set_timer(self, after_s: float) -> None:
+        self._clear_timer()
+        self._timer = self._loop.call_later(after_s, self._expire)
+
+    def _clear_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _expire(self) -> None:
+        if self._body is not None and not self._body.done():
+            self._body.set_exception(RequestError(Code.slow_sender))
+        elif self._arrived and not self._busy:
+            self._refuse(Code.slow_sender)
+        elif not self._busy:
+            self._transport.close()
--- /dev/null
+++ b/src/siskinpass/connection/dialect.py
@@ -0,0 +1,102 @@
+"""Write requests in the dialects of the backend servers.
+
+The only module that knows how engines and plain services are spoken to.
+"""
+
+from functools import lru_cache
+from urllib.parse import quote
+
+import orjson
+
+from siskinpass.request.call import Call
+
+
+def engine_request(
+    call: Call,
+    request_id: str,
+    host: str,
+    resume_from: int,
+) -> bytes:
+    """Return a call to a model engine, always streamed.
+
+    :param resume_from: tokens that the caller already has.
+    """
+    fields = {
+        **call.fields,
+        'stream': True,
+        'request_id': request_id,
+        'priority': call.promise.tier,
+        'resume_from': resume_from,
+    }
+    fields.setdefault('max_tokens', call.promise.max_tokens)
+    return _post(call.path, host, orjson.dumps(fields), request_id)
+
+
+def service_request(call: Call, request_id: str, host: str) -> bytes:
+    """Return a call to a plain service."""
+    return _post(quote(call.service_path), host, call.body, request_id)
+
+
+def event_marker(request_id: str) -> bytes:
+    """Return what each event of an engine's answer must hold."""
+    return b'"id":"%b"' % request_id.encode()
+
+
+def assemble(events: bytes, *, chat: bool) -> bytes:
+    """Return the whole answer that the events of a stream amount to."""
+    documents = [
+        orjson.loads(event.removeprefix(b'data: '))
+        for event in events.split(b'\n\n')
+        if event and not event.endswith(b'[DONE]')
+    ]
+    last = documents[-1]
+    texts = [_event_text(document, chat=chat) for document in documents]
+    choice = {
+        'index': 0,
+        'finish_reason': last['choices'][0].get('finish_reason'),
+    }
+    if chat:
+        message = {'role': 'assistant', 'content': ''.join(texts)}
+        choice['message'] = message
+    else:
+        choice['text'] = ''.join(texts)
+    return orjson.dumps({
+        'id': last['id'],
+        'object': 'chat.completion' if chat else 'text_completion',
+        'created': last.get('created', 0),
+        'model': last.get('model', ''),
+        'choices': [choice],
+        'usage': {
+            'prompt_tokens': 0,
+            'completion_tokens': len(documents),
+            'total_tokens': len(documents),
+        },
+    })
+
+
+def _event_text(document: dict, *, chat: bool) -> str:
+    choice = document['choices'][0]
+    if chat:
+        return choice['delta'].get('content') or ''
+    return choice.get('text') or ''
+
+
+def _post(path: str, host: str, body: bytes, request_id: str) -> bytes:
+    head = _head_start(path, host)
+    return b'%bX-Request-Id: %b\r\nContent-Length: %d\r\n\r\n%b' % (
+        head,
+        request_id.encode(),
+        len(body),
+        body,
+    )
+
+
+@lru_cache(maxsize=1024)
+def _head_start(path: str, host: str) -> bytes:
+    lines = (
+        f'POST {path} HTTP/1.1',
+        f'Host: {host}',
+        'Content-Type: application/json',
+        '',
+    )
+    return '\r\n'.join(lines).encode('latin-1')
--- /dev/null
+++ b/src/siskinpass/process/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what lives as long as the process."""
--- /dev/null
+++ b/src/siskinpass/process/attempt.py
@@ -0,0 +1,120 @@
+"""Run one attempt of a request on one backend server."""
+
+import asyncio
+from collections.abc import Callable
+
+from siskinpass.codes import Code
+from siskinpass.connection.backend import (
+    STATUS_OK,
+    AnswerSink,
+    BackendConnection,
+)
+from siskinpass.exceptions import BackendError, SiskinpassError
+from siskinpass.request.stream import TokenTap
+
+STATUS_UNAVAILABLE = 503
+
+
+class CallerGoneError(SiskinpassError):
+    """The caller went away before its answer was whole."""
+
+
+class Attempt(AnswerSink):
+    """Take in one answer and pass it on.
+
+    :param tap: follows a stream of tokens, none for a whole answer.
+    :param forward: takes each piece that may be passed on.
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        server: str,
+        tap: TokenTap | None,
+        forward: Callable[[bytes], None],
+    ) -> None:
+        """Start before anything was sent."""
+        self._loop = asyncio.get_running_loop()
+        self._forward = forward
+        self._connection: BackendConnection | None = None
+        self.finished: asyncio.Future[None] = self._loop.create_future()
+        self.pool = pool
+        self.server = server
+        self.tap = tap
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.sent_s = self._loop.time()
+        self.first_token_s = 0.0
+        self.stalled_s = 0.0
+
+    @property
+    def answered(self) -> bool:
+        """Return whether the backend server answered at all."""
+        return bool(self.status)
+
+    def start(self, connection: BackendConnection, request: bytes) -> None:
+        """Send the request."""
+        self._connection = connection
+        self.sent_s = self._loop.time()
+        connection.send(request, self)
+
+    def take_head(self, status: int, headers: dict[str, str]) -> None:
+        """Check the status."""
+        self.status = status
+        self.headers = headers
+        if self.tap is not None and status != STATUS_OK:
+            code = Code.backend_error
+            if status == STATUS_UNAVAILABLE:
+                code = Code.retry_backend_leaving
+            self.break_off(BackendError(code, f'status {status}'))
+
+    def take_piece(self, piece: bytes) -> None:
+        """Pass on what may be passed on."""
+        if self.finished.done():
+            return
+        if self.tap is None:
+            self._forward(piece)
+            return
+        now_s = self._loop.time()
+        try:
+            whole = self.tap.feed(piece, now_s)
+        except BackendError as error:
+            self.break_off(error)
+            return
+        if whole:
+            self.first_token_s = self.first_token_s or now_s
+            self._forward(whole)
+
+    def take_end(self) -> None:
+        """End the attempt; a stream without its end marker was cut."""
+        self._connection = None
+        if self.finished.done():
+            return
+        if self.tap is not None and not self.tap.done:
+            self.finished.set_exception(BackendError(Code.stream_cut))
+        else:
+            self.finished.set_result(None)
+
+    def take_failure(self, error: BackendError) -> None:
+        """End the attempt."""
+        self._connection = None
+        if not self.finished.done():
+            self.finished.set_exception(error)
+
+    def break_off(self, error: SiskinpassError) -> None:
+        """End the attempt and stop the backend server's work."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.cancel()
+        if not self.finished.done():
+            self.finished.set_exception(error)
+
+    def drop_caller(self) -> None:
+        """Give up a caller that does not read."""
+        self.break_off(CallerGoneError(Code.stream_cut))
+
+    def set_flow(self, *, on: bool) -> None:
+        """Slow down or go on, by the pace of the caller."""
+        self.stalled_s = 0.0 if on else self._loop.time()
+        if self._connection is not None:
+            self._connection.set_reading(on=on)
--- /dev/null
+++ b/src/siskinpass/process/broker.py
@@ -0,0 +1,323 @@
+"""Grant the slots of one group of backend servers in priority order.
+
+Pure logic: events and a clock go in, commands come out. One live instance
+holds the broker of a group; its state is soft and is told again by the
+entry instances when the broker moves.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field, replace
+from functools import singledispatchmethod
+
+from siskinpass.codes import Code
+from siskinpass.process.limits import LimitPolicy
+from siskinpass.process.placement import ServerTable
+from siskinpass.process.reserve import SwingReserve
+from siskinpass.process.throughput import GrantRate
+from siskinpass.request.order import WaitingTickets
+from siskinpass.request.ticket import (
+    ClockTicked,
+    Command,
+    EntryLost,
+    Event,
+    Granted,
+    GrantReleased,
+    GrantReported,
+    Paused,
+    Refused,
+    ServersListed,
+    Ticket,
+    TicketOpened,
+    TicketWithdrawn,
+    TokensObserved,
+)
+
+MS_PER_S = 1000
+LEAST_RETRY_MS = 200
+MOST_PAUSES_AT_ONCE = 8
+
+
+@dataclass(frozen=True, slots=True)
+class BrokerPolicy:
+    """Set how a broker decides.
+
+    :param limit: bounds of the slots of each backend server.
+    :param queue_most: tickets that may wait in the whole group.
+    :param reserve_floor: slots kept free for the most urgent tier.
+    :param in_order: whether tiers and targets order the queue; without it
+        tickets are served as they come.
+    :param pauses: whether lower tiers are paused for upper ones.
+    """
+
+    limit: LimitPolicy = field(default_factory=LimitPolicy)
+    queue_most: int = 2000
+    reserve_floor: int = 1
+    in_order: bool = True
+    pauses: bool = True
+
+
+@dataclass(slots=True)
+class Running:
+    """Hold one granted slot."""
+
+    ticket: Ticket
+    server: str
+    protected: bool = False
+    pausing: bool = False
+
+
+class Broker:
+    """Order the tickets of one group and grant its slots."""
+
+    def __init__(self, policy: BrokerPolicy) -> None:
+        """Start without servers, tickets or grants."""
+        self._policy = policy
+        self._table = ServerTable(policy.limit)
+        self._waiting = WaitingTickets()
+        self._running: dict[str, Running] = {}
+        self._demand: Counter[int] = Counter()
+        self._reserves: dict[int, SwingReserve] = {}
+        self._rate = GrantRate()
+        self._commands: list[Command] = []
+        self._now_s = 0.0
+
+    @property
+    def waiting(self) -> int:
+        """Return how many tickets wait."""
+        return len(self._waiting)
+
+    @property
+    def running(self) -> int:
+        """Return how many slots are granted."""
+        return len(self._running)
+
+    @property
+    def table(self) -> ServerTable:
+        """Return the backend servers of the group."""
+        return self._table
+
+    def apply(self, event: Event, now_s: float) -> list[Command]:
+        """Take in one event and return the commands that follow from it.
+
+        :param event: what happened.
+        :param now_s: the clock in seconds; it never goes back.
+        """
+        self._now_s = max(self._now_s, now_s)
+        self._take(event)
+        self._dispatch()
+        commands, self._commands = self._commands, []
+        return commands
+
+    @singledispatchmethod
+    def _take(self, event: Event) -> None:
+        raise TypeError(event)
+
+    @_take.register
+    def _open(self, event: TicketOpened) -> None:
+        ticket = event.ticket
+        known = ticket.ticket_id in self._waiting
+        if known or ticket.ticket_id in self._running:
+            return
+        if not self._policy.in_order:
+            ticket = _without_order(ticket)
+        if ticket.resumed or self._admit(ticket):
+            self._waiting.add(ticket)
+            self._add_demand(ticket, 1)
+
+    @_take.register
+    def _withdraw(self, event: TicketWithdrawn) -> None:
+        ticket = self._waiting.pop(event.ticket_id)
+        if ticket is not None:
+            self._add_demand(ticket, -1)
+
+    @_take.register
+    def _release(self, event: GrantReleased) -> None:
+        self._withdraw(TicketWithdrawn(event.ticket_id))
+        held = self._running.pop(event.ticket_id, None)
+        if held is None:
+            return
+        self._add_demand(held.ticket, -1)
+        server = self._table.find(held.server)
+        if server is not None:
+            server.running -= 1
+            server.note_end(self._now_s, failed=event.failed)
+
+    @_take.register
+    def _report(self, event: GrantReported) -> None:
+        ticket = event.ticket
+        if ticket.ticket_id in self._running:
+            return
+        self._withdraw(TicketWithdrawn(ticket.ticket_id))
+        self._running[ticket.ticket_id] = Running(ticket, event.server)
+        self._add_demand(ticket, 1)
+        server = self._table.find(event.server)
+        if server is not None:
+            server.running += 1
+
+    @_take.register
+    def _observe(self, event: TokensObserved) -> None:
+        server = self._table.find(event.server)
+        if server is None:
+            return
+        server.limit.observe(
+            event.token_s,
+            event.first_s,
+            server.running,
+            self._now_s,
+        )
+
+    @_take.register
+    def _list(self, event: ServersListed) -> None:
+        self._table.replace(event.servers)
+        counted = Counter(held.server for held in self._running.values())
+        for server in self._table.servers:
+            server.running = counted[server.view.name]
+
+    @_take.register
+    def _lose(self, event: EntryLost) -> None:
+        for ticket in self._waiting:
+            if ticket.entry == event.entry:
+                self._withdraw(TicketWithdrawn(ticket.ticket_id))
+        held = [
+            ticket_id
+            for ticket_id, running in self._running.items()
+            if running.ticket.entry == event.entry
+        ]
+        for ticket_id in held:
+            self._release(GrantReleased(ticket_id))
+
+    @_take.register
+    def _tick(self, event: ClockTicked) -> None:
+        self._table.mark_slow(self._now_s)
+        for ticket in self._waiting:
+            if ticket.gives_up_s <= self._now_s and not ticket.resumed:
+                self._refuse(ticket, Code.wait_too_long)
+        for tier in self._demand:
+            self._note_demand(tier)
+
+    def _admit(self, ticket: Ticket) -> bool:
+        wait_s = self._expected_wait_s(ticket)
+        if wait_s > ticket.patience_s:
+            self._reply_refused(ticket, Code.wait_too_long, wait_s)
+            return False
+        if len(self._waiting) < self._policy.queue_most:
+            return True
+        lowest = self._waiting.lowest()
+        if lowest.tier <= ticket.tier:
+            self._reply_refused(ticket, Code.queue_full, wait_s)
+            return False
+        self._refuse(lowest, Code.shed_for_upper_tier)
+        return True
+
+    def _expected_wait_s(self, ticket: Ticket) -> float:
+        ahead = self._waiting.count_above(ticket.tier)
+        return self._rate.wait_s(ticket.tier, ahead, self._now_s)
+
+    def _refuse(self, ticket: Ticket, code: Code) -> None:
+        self._withdraw(TicketWithdrawn(ticket.ticket_id))
+        self._reply_refused(ticket, code, self._expected_wait_s(ticket))
+
+    def _reply_refused(
+        self,
+        ticket: Ticket,
+        code: Code,
+        wait_s: float,
+    ) -> None:
+        excess_s = max(0, wait_s - ticket.patience_s / 2)
+        retry_ms = LEAST_RETRY_MS + int(excess_s * MS_PER_S)
+        self._commands.append(
+            Refused(ticket.ticket_id, ticket.entry, code, retry_ms),
+        )
+
+    def _dispatch(self) -> None:
+        while self._grant_owed():
+            continue
+        for tier in self._waiting.tiers:
+            self._dispatch_tier(tier)
+
+    def _grant_owed(self) -> bool:
+        tier = self._waiting.owed_tier()
+        if tier is None:
+            return False
+        ticket = self._waiting.first(tier)
+        return self._grant(ticket, owed=True)
+
+    def _dispatch_tier(self, tier: int) -> None:
+        budget = self._free_for(tier)
+        while budget > 0 and tier in self._waiting.tiers:
+            if not self._grant(self._waiting.first(tier), owed=False):
+                break
+            budget -= 1
+        if self._policy.pauses and tier in self._waiting.tiers:
+            self._make_room(tier)
+
+    def _free_for(self, tier: int) -> int:
+        free = self._table.free_slots(self._now_s)
+        capacity = self._table.slots
+        floor = self._policy.reserve_floor
+        reserved = [
+            reserve.slots(self._demand_above(upper), capacity, floor)
+            for upper, reserve in self._reserves.items()
+            if upper < tier
+        ]
+        return free - max(reserved, default=0)
+
+    def _grant(self, ticket: Ticket, *, owed: bool) -> bool:
+        server = self._table.choose(ticket, self._now_s)
+        if server is None:
+            return False
+        self._waiting.pop(ticket.ticket_id)
+        self._waiting.charge(ticket, owed=owed)
+        name = server.view.name
+        self._running[ticket.ticket_id] = Running(ticket, name, protected=owed)
+        server.running += 1
+        self._table.remember(ticket.prefix, name)
+        self._rate.note(ticket.tier, self._now_s)
+        self._commands.append(Granted(ticket.ticket_id, ticket.entry, name))
+        return True
+
+    def _make_room(self, tier: int) -> None:
+        """Pause one lower stream for each ticket that waits in the tier."""
+        pausing = sum(held.pausing for held in self._running.values())
+        wanted = min(
+            self._waiting.count_above(tier) - pausing,
+            MOST_PAUSES_AT_ONCE - pausing,
+        )
+        if wanted <= 0:
+            return
+        lower = [
+            held
+            for held in self._running.values()
+            if held.ticket.tier > tier and _may_pause(held)
+        ]
+        lower.sort(key=_pause_rank, reverse=True)
+        for held in lower[:wanted]:
+            held.pausing = True
+            self._commands.append(
+                Paused(held.ticket.ticket_id, held.ticket.entry),
+            )
+
+    def _add_demand(self, ticket: Ticket, step: int) -> None:
+        self._demand[ticket.tier] += step
+        self._note_demand(ticket.tier)
+
+    def _note_demand(self, tier: int) -> None:
+        reserve = self._reserves.setdefault(tier, SwingReserve())
+        reserve.observe(self._demand_above(tier), self._now_s)
+
+    def _demand_above(self, tier: int) -> int:
+        return sum(
+            count for other, count in self._demand.items() if other <= tier
+        )
+
+
+def _may_pause(held: Running) -> bool:
+    return held.ticket.pausable and not (held.protected or held.pausing)
+
+
+def _pause_rank(held: Running) -> tuple[int, float]:
+    return (held.ticket.tier, held.ticket.opened_s)
+
+
+def _without_order(ticket: Ticket) -> Ticket:
+    return replace(ticket, tier=0, target_s=0.0, share=0.0)
--- /dev/null
+++ b/src/siskinpass/process/counts.py
@@ -0,0 +1,136 @@
+"""Count outcomes per second and node of the tree.
+
+Pure logic. The counts of several instances are merged by adding them up.
+"""
+
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+KEPT_S = 40
+NODES_MOST = 8000
+FIRST_BOUNDS_MS = (
+    10, 20, 40, 60, 80, 120, 160, 240, 320, 480, 640, 960, 1280, 1920,
+    2560, 3840, 5120, 7680, 10240, 20480, 40960,
+)
+
+
+@dataclass(slots=True)
+class Tally:
+    """Add up outcomes.
+
+    :param total: requests that ended, answered or refused.
+    :param missed: those that missed a target of their class.
+    :param refused: those that were refused.
+    :param slow_backend: those that missed though they did not wait.
+    :param firsts: requests by the bucket of their first-token time.
+    """
+
+    total: int = 0
+    missed: int = 0
+    refused: int = 0
+    slow_backend: int = 0
+    firsts: Counter[int] = field(default_factory=Counter)
+
+    def add(self, other: 'Tally') -> None:
+        """Add another tally to this one."""
+        self.total += other.total
+        self.missed += other.missed
+        self.refused += other.refused
+        self.slow_backend += other.slow_backend
+        self.firsts.update(other.firsts)
+
+    def first_ms(self, fraction: float) -> int:
+        """Return the bound of the bucket that holds a quantile, in ms."""
+        wanted = fraction * self.firsts.total()
+        seen = 0
+        for bucket in sorted(self.firsts):
+            seen += self.firsts[bucket]
+            if seen >= wanted:
+                bucket = min(bucket, len(FIRST_BOUNDS_MS) - 1)
+                return FIRST_BOUNDS_MS[bucket]
+        return 0
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Describe how one request ended.
+
+    :param first_ms: arrival to first token, 0 where none was passed on.
+    :param met: whether all targets of its class were met.
+    :param waited_ms: part of it that was spent waiting for a slot.
+    """
+
+    node: str
+    met: bool
+    refused: bool = False
+    first_ms: float = 0
+    waited_ms: float = 0
+
+
+class CountBook:
+    """Keep the tallies of the last seconds."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._seconds: dict[int, dict[str, Tally]] = {}
+
+    def note(self, outcome: Outcome, now_s: float) -> None:
+        """Count one outcome."""
+        tallies = self._second(int(now_s))
+        if outcome.node not in tallies and len(tallies) >= NODES_MOST:
+            return
+        tally = tallies.setdefault(outcome.node, Tally())
+        tally.total += 1
+        tally.missed += not outcome.met
+        tally.refused += outcome.refused
+        waited_little = outcome.waited_ms * 2 < outcome.first_ms
+        tally.slow_backend += not outcome.met and waited_little
+        if outcome.first_ms > 0:
+            bucket = bisect_left(FIRST_BOUNDS_MS, outcome.first_ms)
+            tally.firsts[bucket] += 1
+
+    def add(self, second: int, node: str, tally: Tally) -> None:
+        """Add the tally of another instance."""
+        self._second(second).setdefault(node, Tally()).add(tally)
+
+    def after(self, second: int) -> Iterable[tuple[int, str, Tally]]:
+        """Return the tallies of the seconds after one."""
+        return [
+            (at, node, tally)
+            for at, tallies in self._seconds.items()
+            if at > second
+            for node, tally in tallies.items()
+        ]
+
+    def nodes(self) -> set[str]:
+        """Return the nodes that were counted."""
+        return {node for tallies in self._seconds.values() for node in tallies}
+
+    def window(self, node: str, last: int, seconds: int) -> list[Tally]:
+        """Return one tally for each second of a window, empty ones too.
+
+        :param last: last second of the window.
+        """
+        return [
+            self._seconds.get(second, {}).get(node, Tally())
+            for second in range(last - seconds + 1, last + 1)
+        ]
+
+    def _second(self, second: int) -> dict[str, Tally]:
+        tallies = self._seconds.get(second)
+        if tallies is None:
+            tallies = {}
+            self._seconds[second] = tallies
+            for old in [at for at in self._seconds if at <= second - KEPT_S]:
+                self._seconds.pop(old)
+        return tallies
+
+
+def merge(tallies: Iterable[Tally]) -> Tally:
+    """Return the sum of tallies."""
+    merged = Tally()
+    for tally in tallies:
+        merged.add(tally)
+    return merged
--- /dev/null
+++ b/src/siskinpass/process/front.py
@@ -0,0 +1,135 @@
+"""Listen for callers and operators."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import partial
+from typing import Protocol
+
+from siskinpass.codes import Code
+from siskinpass.connection.caller import CallerConnection
+from siskinpass.connection.parsing import ParsingServer
+from siskinpass.process.pages import (
+    CallerPages,
+    Node,
+    OperatorPages,
+    make_application,
+)
+from siskinpass.process.settings import Settings, load_tls
+from siskinpass.request.answer import error_answer
+from siskinpass.request.call import CHAT_PATH, SERVICE_PREFIX, TEXT_PATH
+from siskinpass.request.head import RequestHead
+
+ADDRESS_KEEP_S = 15
+OPERATOR_THREADS = 2
+CONNECTIONS_MOST = 12_000
+BACKLOG = 4096
+RELAYED = (CHAT_PATH, TEXT_PATH, SERVICE_PREFIX)
+
+
+class RequestServer(Protocol):
+    """Answer parsed requests."""
+
+    def serve(self, caller: CallerConnection, head: RequestHead) -> None:
+        """Start to answer a request."""
+
+
+class Front:
+    """Own the listening sockets and the request threads."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        node: Node,
+        relay: RequestServer,
+    ) -> None:
+        """Make the page handlers; nothing listens yet."""
+        loop = asyncio.get_running_loop()
+        self._settings = settings
+        self._loop = loop
+        self._relay = relay
+        self._connections: set[CallerConnection] = set()
+        callers = make_application(CallerPages(node, loop, ADDRESS_KEEP_S))
+        operators = make_application(
+            OperatorPages(node, loop, settings.operator_key),
+        )
+        self._callers = ParsingServer(callers, settings.threads, RELAYED)
+        self._operators = ParsingServer(operators, OPERATOR_THREADS)
+
+    @asynccontextmanager
+    async def listening(self) -> AsyncIterator[None]:
+        """Listen on both addresses."""
+        self._callers.start_threads()
+        self._operators.start_threads()
+        callers = await self._listen(self._settings.callers, self._callers)
+        operators = await self._listen(
+            self._settings.operators,
+            self._operators,
+        )
+        try:
+            yield
+        finally:
+            callers.close()
+            operators.close()
+            for connection in tuple(self._connections):
+                connection.close()
+            self._callers.stop_threads()
+            self._operators.stop_threads()
+
+    async def _listen(
+        self,
+        address: str,
+        parser: ParsingServer,
+    ) -> asyncio.Server:
+        host, port = address.rsplit(':', 1)
+        return await self._loop.create_server(
+            partial(self._accept, parser),
+            host,
+            int(port),
+            ssl=load_tls(self._settings),
+            backlog=BACKLOG,
+        )
+
+    def _accept(self, parser: ParsingServer) -> asyncio.Protocol:
+        if len(self._connections) >= CONNECTIONS_MOST:
+            return _Refuser()
+        return _CountedConnection(
+            self._connections,
+            self._loop,
+            parser.parse,
+            self._relay.serve,
+        )
+
+
+class _CountedConnection(CallerConnection):
+    """Stand in the set of open connections while open."""
+
+    def __init__(
+        self,
+        connections: set[CallerConnection],
+        loop: asyncio.AbstractEventLoop,
+        *args,
+    ) -> None:
+        super().__init__(loop, *args)
+        self._connections = connections
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Join the set."""
+        self._connections.add(self)
+        super().connection_made(transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Leave the set."""
+        self._connections.discard(self)
+        super().connection_lost(exc)
+
+
+class _Refuser(asyncio.Protocol):
+    """Refuse a connection beyond the bound."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Answer and close."""
+        transport.write(
+            error_answer(Code.too_many_connections, retry_after_ms=1000),
+        )
+        transport.close()
--- /dev/null
+++ b/src/siskinpass/process/limits.py
@@ -0,0 +1,99 @@
+"""Adapt the slots of one backend server to the token times it shows.
+
+Pure logic: observations and a clock go in, a limit comes out.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class LimitPolicy:
+    """Bound the slots of a backend server.
+
+    :param start: slots before anything was observed.
+    :param least: slots that are always left.
+    :param most: slots that are never exceeded.
+    :param token_s: token time that the limit defends, in seconds.
+    """
+
+    start: int = 8
+    least: int = 2
+    most: int = 64
+    token_s: float = 0.04
+
+
+SMOOTHING = 0.25  # one late token moves the mean by a quarter
+DECREASE = 0.85
+DECREASE_EVERY_S = 0.5
+TOLERANCE = 1.15
+BUSY_FRACTION = 0.75
+SLOW_DECAY_S = 3.0
+
+
+class SlotLimit:
+    """Track the limit and the speed of one backend server."""
+
+    def __init__(self, policy: LimitPolicy) -> None:
+        """Start from the policy's first limit."""
+        self._policy = policy
+        self._limit = float(policy.start)
+        self._token_s = 0.0
+        self._first_s = 0.0
+        self._seen_s = float('-inf')
+        self._decreased_s = float('-inf')
+
+    @property
+    def slots(self) -> int:
+        """Return how many requests may run at once."""
+        return int(self._limit)
+
+    @property
+    def token_s(self) -> float:
+        """Return the smoothed token time, 0 before the first token."""
+        return self._token_s
+
+    @property
+    def first_s(self) -> float:
+        """Return the smoothed time to the first token."""
+        return self._first_s
+
+    def observe(
+        self,
+        token_s: float,
+        first_s: float,
+        running: int,
+        now_s: float,
+    ) -> None:
+        """Take in one observation.
+
+        :param token_s: mean time between tokens, 0 where none was seen.
+        :param first_s: time to the first token, 0 where none was seen.
+        :param running: slots in use when it was made.
+        """
+        self._seen_s = now_s
+        if first_s > 0:
+            self._first_s = _smooth(self._first_s, first_s)
+        if token_s > 0:
+            self._token_s = _smooth(self._token_s, token_s)
+            self._adapt(running, now_s)
+
+    def is_stale(self, now_s: float) -> bool:
+        """Tell whether the speed is too old to be believed."""
+        return now_s - self._seen_s > SLOW_DECAY_S
+
+    def _adapt(self, running: int, now_s: float) -> None:
+        policy = self._policy
+        if self._token_s > policy.token_s * TOLERANCE:
+            if now_s - self._decreased_s >= DECREASE_EVERY_S:
+                self._decreased_s = now_s
+                shrunk = min(self._limit, running) * DECREASE
+                self._limit = max(float(policy.least), shrunk)
+        elif running >= self._limit * BUSY_FRACTION:
+            grown = self._limit + 1 / self._limit
+            self._limit = min(float(policy.most), grown)
+
+
+def _smooth(old: float, new: float) -> float:
+    if old <= 0:
+        return new
+    return old + SMOOTHING * (new - old)
--- /dev/null
+++ b/src/siskinpass/process/membership.py
@@ -0,0 +1,397 @@
+"""Keep the set of live entry instances by heartbeats and gossip.
+
+Pure logic in the manner of SWIM (Das, Gupta, Motivala, 2002): each period an
+instance probes one other, asks a few to probe it where no answer comes, and
+carries news of members on the packets that it sends anyway. The messages a
+period are the same whatever the number of instances.
+"""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from functools import singledispatchmethod
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipPolicy:
+    """Set the rhythm of the heartbeats, in seconds.
+
+    :param period_s: time between probes.
+    :param ack_s: wait for an answer before others are asked.
+    :param suspect_s: time from suspicion to death.
+    :param forget_s: time that a dead member is remembered.
+    :param helpers: members asked to probe in our place.
+    :param news: members told of on one packet.
+    """
+
+    period_s: float = 0.2
+    ack_s: float = 0.1
+    suspect_s: float = 0.8
+    forget_s: float = 60.0
+    helpers: int = 2
+    news: int = 6
+
+
+ALIVE = 0
+SUSPECT = 1
+LEAVING = 2
+DEAD = 3
+
+NEWS_REPEATS = 8
+JOIN_TARGETS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Describe one member as it is told in gossip.
+
+    :param incarnation: start time of its process in ms; a replaced instance
+        has a higher one.
+    :param state: 0 alive, 1 suspect, 2 leaving, 3 dead.
+    :param counter: raised by the member itself to refute a suspicion and on
+        every change of what it tells of itself.
+    :param tree_version: version of the tree in force there.
+    """
+
+    name: str
+    peer_address: str
+    caller_address: str = ''
+    zone: str = ''
+    incarnation: int = 0
+    counter: int = 0
+    state: int = ALIVE
+    tree_version: int = 0
+
+    @property
+    def age_rank(self) -> tuple[int, int, int]:
+        """Return what orders two tellings of the same member."""
+        return (self.incarnation, self.counter, self.state)
+
+
+@dataclass(frozen=True, slots=True)
+class Packet:
+    """Carry one heartbeat and some news.
+
+    :param kind: ``ping``, ``ack`` or ``ask``.
+    :param sequence: pairs an answer with its probe.
+    :param target: member to probe for the sender of an ``ask``, or the
+        member that an ``ack`` speaks for.
+    """
+
+    kind: str
+    sender: Member
+    sequence: int
+    news: tuple[Member, ...] = ()
+    target: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class PacketArrived:
+    """A packet came from the network."""
+
+    packet: Packet
+
+
+@dataclass(frozen=True, slots=True)
+class SeedsListed:
+    """The instance list told of instances."""
+
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TimePassed:
+    """Time passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class SelfChanged:
+    """What this instance tells of itself changed."""
+
+    leaving: bool
+    tree_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendPacket:
+    """Send a packet to an address."""
+
+    address: str
+    packet: Packet
+
+
+@dataclass(slots=True)
+class _Probe:
+    """Track the probe of this period."""
+
+    target: str
+    sequence: int
+    sent_s: float
+    asked: bool = False
+    answered: bool = False
+
+
+@dataclass(slots=True)
+class _Entry:
+    """Hold a member and when its state began."""
+
+    member: Member
+    since_s: float
+    repeats: int = NEWS_REPEATS
+
+
+class Membership:
+    """Track members and decide what to send."""
+
+    def __init__(
+        self,
+        own: Member,
+        policy: MembershipPolicy,
+        chance: random.Random,
+    ) -> None:
+        """Start with only this instance known."""
+        self._own = own
+        self._policy = policy
+        self._chance = chance
+        self._entries: dict[str, _Entry] = {}
+        self._round: list[str] = []
+        self._probe: _Probe | None = None
+        self._relayed: dict[int, tuple[str, int]] = {}
+        self._sequence = 0
+        self._next_probe_s = 0.0
+        self._seeds: tuple[Member, ...] = ()
+        self._now_s = 0.0
+        self._out: list[SendPacket] = []
+        self._own_repeats = NEWS_REPEATS
+
+    @property
+    def own(self) -> Member:
+        """Return what this instance tells of itself."""
+        return self._own
+
+    @property
+    def members(self) -> list[Member]:
+        """Return all known members, this instance among them."""
+        known = [entry.member for entry in self._entries.values()]
+        return [self._own, *known]
+
+    @property
+    def live(self) -> list[Member]:
+        """Return the members that are not dead, suspects included."""
+        return [member for member in self.members if member.state != DEAD]
+
+    @property
+    def serving(self) -> list[Member]:
+        """Return the members that are neither dead nor leaving."""
+        return [
+            member for member in self.members if member.state in {ALIVE, SUSPECT}
+        ]
+
+    def apply(
+        self,
+        event: PacketArrived | SeedsListed | TimePassed | SelfChanged,
+        now_s: float,
+    ) -> list[SendPacket]:
+        """Take in one event and return the packets to send."""
+        self._now_s = max(self._now_s, now_s)
+        self._take(event)
+        out, self._out = self._out, []
+        return out
+
+    @singledispatchmethod
+    def _take(self, event: object) -> None:
+        raise TypeError(event)
+
+    @_take.register
+    def _arrive(self, event: PacketArrived) -> None:
+        packet = event.packet
+        self._learn((packet.sender, *packet.news))
+        if packet.kind == 'ping':
+            self._send(packet.sender, 'ack', packet.sequence)
+        elif packet.kind == 'ask':
+            self._probe_for(packet)
+        else:
+            self._take_ack(packet)
+
+    @_take.register
+    def _list(self, event: SeedsListed) -> None:
+        own = self._own.name
+        self._seeds = tuple(
+            seed for seed in event.members if seed.name != own
+        )
+
+    @_take.register
+    def _change(self, event: SelfChanged) -> None:
+        self._own = replace(
+            self._own,
+            counter=self._own.counter + 1,
+            state=LEAVING if event.leaving else ALIVE,
+            tree_version=event.tree_version,
+        )
+        if event.leaving:
+            for entry in self._entries.values():
+                if entry.member.state != DEAD:
+                    self._send(entry.member, 'ping', 0)
+
+    @_take.register
+    def _pass_time(self, event: TimePassed) -> None:
+        self._age_members()
+        self._ask_helpers()
+        if self._now_s >= self._next_probe_s:
+            self._close_probe()
+            self._next_probe_s = self._now_s + self._policy.period_s
+            self._join()
+            self._start_probe()
+
+    def _learn(self, told: Iterable[Member]) -> None:
+        for member in told:
+            if member.name == self._own.name:
+                self._refute(member)
+            else:
+                self._learn_one(member)
+
+    def _learn_one(self, member: Member) -> None:
+        known = self._entries.get(member.name)
+        if known is None:
+            if member.state != DEAD:
+                self._entries[member.name] = _Entry(member, self._now_s)
+            return
+        if member.age_rank > known.member.age_rank:
+            if member.state == known.member.state:
+                known.member = member
+                known.repeats = NEWS_REPEATS
+            else:
+                self._entries[member.name] = _Entry(member, self._now_s)
+
+    def _refute(self, told: Member) -> None:
+        same = told.incarnation == self._own.incarnation
+        wrong = told.state in {SUSPECT, DEAD}
+        if same and wrong and told.counter >= self._own.counter:
+            self._own = replace(self._own, counter=told.counter + 1)
+
+    def _age_members(self) -> None:
+        policy = self._policy
+        for name, entry in tuple(self._entries.items()):
+            age_s = self._now_s - entry.since_s
+            state = entry.member.state
+            if state == SUSPECT and age_s >= policy.suspect_s:
+                self._set_state(name, DEAD)
+            elif state == DEAD and age_s >= policy.forget_s:
+                self._entries.pop(name)
+
+    def _set_state(self, name: str, state: int) -> None:
+        entry = self._entries[name]
+        member = replace(entry.member, state=state)
+        self._entries[name] = _Entry(member, self._now_s)
+
+    def _ask_helpers(self) -> None:
+        probe = self._probe
+        if probe is None or probe.answered or probe.asked:
+            return
+        if self._now_s - probe.sent_s < self._policy.ack_s:
+            return
+        probe.asked = True
+        others = [
+            entry.member
+            for name, entry in self._entries.items()
+            if name != probe.target and entry.member.state in {ALIVE, LEAVING}
+        ]
+        count = min(self._policy.helpers, len(others))
+        for helper in self._chance.sample(others, count):
+            self._send(helper, 'ask', probe.sequence, probe.target)
+
+    def _close_probe(self) -> None:
+        probe, self._probe = self._probe, None
+        if probe is None or probe.answered:
+            return
+        entry = self._entries.get(probe.target)
+        if entry is None:
+            return
+        if entry.member.state in {ALIVE, LEAVING}:
+            self._set_state(probe.target, SUSPECT)
+
+    def _start_probe(self) -> None:
+        target = self._next_target()
+        if target is None:
+            return
+        self._sequence += 1
+        self._probe = _Probe(target.name, self._sequence, self._now_s)
+        self._send(target, 'ping', self._sequence)
+
+    def _next_target(self) -> Member | None:
+        while True:
+            if not self._round:
+                self._round = [
+                    name
+                    for name, entry in self._entries.items()
+                    if entry.member.state != DEAD
+                ]
+                self._chance.shuffle(self._round)
+            if not self._round:
+                return None
+            entry = self._entries.get(self._round.pop())
+            if entry is not None and entry.member.state != DEAD:
+                return entry.member
+
+    def _join(self) -> None:
+        """Greet listed instances that are not known to live."""
+        strangers = [
+            seed
+            for seed in self._seeds
+            if seed.name not in self._entries
+            or self._entries[seed.name].member.state == DEAD
+        ]
+        count = min(JOIN_TARGETS, len(strangers))
+        for seed in self._chance.sample(strangers, count):
+            self._send(seed, 'ping', 0)
+
+    def _probe_for(self, packet: Packet) -> None:
+        entry = self._entries.get(packet.target)
+        if entry is None:
+            return
+        self._sequence += 1
+        if len(self._relayed) > 100:
+            self._relayed.clear()
+        self._relayed[self._sequence] = (packet.sender.name, packet.sequence)
+        self._send(entry.member, 'ping', self._sequence)
+
+    def _take_ack(self, packet: Packet) -> None:
+        relay = self._relayed.pop(packet.sequence, None)
+        if relay is not None:
+            asker = self._entries.get(relay[0])
+            if asker is not None:
+                speaks_for = packet.sender.name
+                self._send(asker.member, 'ack', relay[1], speaks_for)
+            return
+        probe = self._probe
+        if probe and probe.sequence == packet.sequence:
+            answered = packet.target or packet.sender.name
+            probe.answered = probe.answered or answered == probe.target
+
+    def _send(
+        self,
+        receiver: Member,
+        kind: str,
+        sequence: int,
+        target: str = '',
+    ) -> None:
+        packet = Packet(kind, self._own, sequence, self._news(receiver), target)
+        self._out.append(SendPacket(receiver.peer_address, packet))
+
+    def _news(self, receiver: Member) -> tuple[Member, ...]:
+        """Return the least often repeated news, and the receiver's own state.
+
+        A suspect has to hear of its suspicion in order to refute it.
+        """
+        fresh = sorted(
+            (entry for entry in self._entries.values() if entry.repeats > 0),
+            key=lambda entry: entry.repeats,
+            reverse=True,
+        )[: self._policy.news]
+        for entry in fresh:
+            entry.repeats -= 1
+        told = [entry.member for entry in fresh]
+        known = self._entries.get(receiver.name)
+        if known and known.member.state in {SUSPECT, DEAD}:
+            told.append(known.member)
+        return tuple(told)
--- /dev/null
+++ b/src/siskinpass/process/node.py
@@ -0,0 +1,450 @@
+"""Put the parts of one entry instance together and run them."""
+
+import asyncio
+import random
+import time
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from datetime import UTC, datetime
+from typing import Any
+
+import urllib3
+
+from siskinpass.codes import Code
+from siskinpass.connection.backend import BackendPool
+from siskinpass.exceptions import StoreError
+from siskinpass.process import peer_pb2 as pb
+from siskinpass.process.broker import BrokerPolicy
+from siskinpass.process.claims import Claims
+from siskinpass.process.counts import CountBook
+from siskinpass.process.discovery import Listing, read_listing
+from siskinpass.process.dispatcher import Dispatcher
+from siskinpass.process.front import Front
+from siskinpass.process.gossip import Gossip
+from siskinpass.process.hosting import FALLBACK, BrokerHost
+from siskinpass.process.limits import LimitPolicy
+from siskinpass.process.logs import PartLog
+from siskinpass.process.membership import Member, Membership, MembershipPolicy
+from siskinpass.process.metrics import Metrics
+from siskinpass.process.pages import Address
+from siskinpass.process.peers import (
+    PeerLinks,
+    PeerService,
+    start_peer_server,
+)
+from siskinpass.process.relay import Relay, RelayParts
+from siskinpass.process.settings import Settings, load_peer_security
+from siskinpass.process.status import (
+    LEASE,
+    LeaseKeeper,
+    StatusKeeper,
+    encode_after,
+)
+from siskinpass.process.store import Store
+from siskinpass.process.streams import StreamWatch
+from siskinpass.process.treewatch import TreeWatch
+from siskinpass.request.ticket import ServerView
+from siskinpass.version.book import TreeVersion
+from siskinpass.version.document import tree_mapping
+from siskinpass.version.repository import Edit, Proposal, TreeRepository
+from siskinpass.version.schema import Pool
+
+LIST_EVERY_S = 1.0
+RECHECK_EVERY_S = 0.5
+COLLECT_EVERY_S = 600.0
+ADDRESSES_TOLD = 3
+LEAVING_NOTICE_S = 1.0
+MS_PER_S = 1000
+
+
+class EntryNode:
+    """Own every part of one entry instance."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Make the parts; must be called on the event loop."""
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._log = PartLog('node')
+        self._incarnation = time.time_ns() // 1_000_000
+        self._security = load_peer_security(settings)
+        self._listing = Listing((), ())
+        self._addresses: dict[str, str] = {}
+        self._leaving = False
+        self.stopped = asyncio.Event()
+        self.metrics_book = Metrics()
+        self._store = Store(
+            f'http://{settings.platform}',
+            lambda kind: self._loop.call_soon_threadsafe(
+                self.metrics_book.store_called,
+                kind,
+            ),
+        )
+        self._make_agreement()
+        self._make_relay()
+
+    def _make_agreement(self) -> None:
+        """Make the parts that act together with other instances."""
+        settings = self._settings
+        peers_host = settings.peers.rsplit(':', 1)[0]
+        self._links = PeerLinks(settings.name, peers_host, self._security)
+        own = Member(
+            settings.name,
+            settings.announced_peers or settings.peers,
+            settings.announced_callers or settings.callers,
+            settings.zone,
+            self._incarnation,
+        )
+        membership = Membership(
+            own,
+            MembershipPolicy(),
+            random.Random(self._incarnation),
+        )
+        self.gossip = Gossip(
+            membership,
+            settings.peer_key,
+            self._take_members,
+        )
+        self._repository = TreeRepository(self._store, _stamp)
+        self.tree_watch = TreeWatch(
+            settings.name,
+            self._repository,
+            self._links,
+            self._take_version,
+        )
+        self.host = BrokerHost(self._loop, self._policy_of)
+        self.dispatcher = Dispatcher(
+            settings.name,
+            self.host,
+            self._links.dial,
+            self.metrics_book.retried,
+        )
+        self.dispatcher.alone = settings.decisions == 'alone'
+
+    def _make_relay(self) -> None:
+        """Make the parts that answer callers."""
+        settings = self._settings
+        self._counts = CountBook()
+        self._claims = Claims(self._store)
+        self._backends = BackendPool(self._loop)
+        self.watch = StreamWatch(self.dispatcher)
+        self.relay = Relay(
+            RelayParts(
+                settings.name,
+                self._incarnation,
+                self.tree_watch.book,
+                self.dispatcher,
+                self._backends,
+                self.watch,
+                self._claims,
+                self._counts,
+                self.metrics_book,
+                self._address_of,
+            ),
+        )
+        self._lease = LeaseKeeper(
+            self._store,
+            LEASE,
+            f'{settings.name}-{self._incarnation}',
+        )
+        self._status = StatusKeeper(
+            settings.name,
+            self._store,
+            self._links,
+            self.tree_watch.book,
+            self._counts,
+            lambda: self.gossip.membership.live,
+            self._lease,
+        )
+        self._front = Front(settings, self, self.relay)
+
+    async def run(self) -> None:
+        """Serve until told to leave and the last request is answered."""
+        async with self._started() as tasks:
+            stopping = asyncio.ensure_future(self.stopped.wait())
+            done, _ = await asyncio.wait(
+                (stopping, *tasks),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done - {stopping}:
+                # A part never ends by itself: what ended it is shown.
+                task.result()
+
+    async def drain(self) -> None:
+        """Leave: take nothing new, finish what is open, then stop."""
+        if self._leaving:
+            return
+        self._leaving = True
+        self._log.note('Leaving.')
+        self._tell_self()
+        self._leave_task = self._loop.create_task(self._finish())
+
+    def addresses(self, zone: str) -> list[Address]:
+        """Return instances to use: the caller's zone first, then others."""
+        serving = [
+            Address(member.name, member.caller_address, member.zone)
+            for member in self.gossip.membership.serving
+            if member.caller_address
+            and (member.name != self._settings.name or not self._leaving)
+        ]
+        random.shuffle(serving)
+        serving.sort(key=lambda found: found.zone != zone)
+        return _spread(serving)[:ADDRESSES_TOLD]
+
+    def unready_reason(self) -> Code | None:
+        """Return why this instance is not ready, or none."""
+        if self._leaving:
+            return Code.instance_leaving
+        if self.tree_watch.book.current is None:
+            return Code.no_tree_in_force
+        return None
+
+    def models(self) -> list[str]:
+        """Return the models of the version in force."""
+        version = self.tree_watch.book.current
+        if version is None:
+            return []
+        pools = version.tree.root.pools.values()
+        return sorted({model for pool in pools for model in pool.models})
+
+    def tree(self) -> tuple[int, Mapping[str, Any]]:
+        """Return number and tree of the version in force."""
+        version = self.tree_watch.book.current
+        if version is None:
+            return 0, {}
+        return version.number, tree_mapping(version.tree)
+
+    def status(self) -> dict[str, Any]:
+        """Return what holds, as this instance knows it."""
+        number = self.tree_watch.book.number
+        instances = {
+            member.name: {
+                'state': ('live', 'suspect', 'leaving', 'dead')[member.state],
+                'zone': member.zone,
+                'version': member.tree_version,
+            }
+            for member in self.gossip.membership.members
+        }
+        behind = [
+            name
+            for name, found in instances.items()
+            if found['version'] < number and found['state'] != 'dead'
+        ]
+        brokers = {
+            group: {
+                'waiting': broker.waiting,
+                'running': broker.running,
+                'servers': {
+                    server.view.name: {
+                        'slots': server.limit.slots,
+                        'running': server.running,
+                        'slow': server.slow,
+                        'leaving': server.view.leaving,
+                        'token_ms': round(server.limit.token_s * MS_PER_S, 1),
+                    }
+                    for server in broker.table.servers
+                },
+            }
+            for group, broker in self.host.groups.items()
+        }
+        return {
+            'instance': self._settings.name,
+            'version': number,
+            'in_force_everywhere': not behind,
+            'behind': behind,
+            'instances': instances,
+            'open_requests': self.relay.open_requests,
+            'unsettled_claims': self._claims.unsettled,
+            'brokers': brokers,
+            **self._status.document,
+        }
+
+    def metrics(self) -> bytes:
+        """Return the counters."""
+        book = self.metrics_book
+        book.state('open_requests', self.relay.open_requests)
+        book.state('open_streams', self.watch.open_streams)
+        book.state('live_instances', len(self.gossip.membership.live))
+        book.state('tree_version', self.tree_watch.book.number)
+        book.state('peer_bytes_sent', self.gossip.bytes_sent)
+        book.state('peer_packets_sent', self.gossip.packets_sent)
+        return book.render()
+
+    async def propose(self, proposal: Proposal) -> int:
+        """Accept an edit and put it in force here at once."""
+        version = await self._repository.propose(proposal)
+        self.tree_watch.offer(version)
+        return version.number
+
+    async def history(self) -> tuple[Edit, ...]:
+        """Return the latest edits."""
+        return await self._repository.history()
+
+    async def tree_at(self, number: int) -> Mapping[str, Any]:
+        """Return an earlier tree."""
+        return await self._repository.tree_at(number)
+
+    def tree_newer_than(self, number: int) -> tuple[int, str]:
+        """Return number and text of the version in force for a peer."""
+        version = self.tree_watch.book.current
+        if version is None or version.number <= number:
+            return self.tree_watch.book.number, ''
+        return version.number, version.text
+
+    def counts_after(self, second: int) -> pb.CountsReply:
+        """Return this instance's counts for a peer."""
+        last = int(self._loop.time()) - 1
+        counts = encode_after(self._counts, second, last)
+        return pb.CountsReply(counts=counts, last_second=last)
+
+    @asynccontextmanager
+    async def _started(self) -> AsyncIterator[list[asyncio.Task[None]]]:
+        settings = self._settings
+        host, port = settings.peers.rsplit(':', 1)
+        await self._loop.create_datagram_endpoint(
+            lambda: self.gossip,
+            local_addr=(host, int(port)),
+        )
+        service = PeerService(self.host, self, settings.peer_key)
+        peer_server = await start_peer_server(
+            service,
+            settings.peers,
+            self._security,
+        )
+        tasks = [
+            self._loop.create_task(running)
+            for running in (
+                self.gossip.run(),
+                self.host.run(),
+                self.watch.run(),
+                self.tree_watch.run(),
+                self._claims.run(),
+                self._lease.run(),
+                self._status.run(),
+                self._follow_list(),
+                self._recheck(),
+                self._collect_claims(),
+            )
+        ]
+        try:
+            async with self._front.listening():
+                self._log.note('Serving.', callers=settings.callers)
+                yield tasks
+        finally:
+            for task in tasks:
+                task.cancel()
+            peer_server.close()
+            self._links.close()
+            self._store.close()
+
+    async def _finish(self) -> None:
+        await asyncio.sleep(LEAVING_NOTICE_S)
+        self.relay.leaving = True
+        await self.relay.drain()
+        await asyncio.sleep(LEAVING_NOTICE_S)
+        await self.relay.drain()
+        self._log.note('Left.')
+        self.stopped.set()
+
+    async def _follow_list(self) -> None:
+        http = urllib3.PoolManager(maxsize=1)
+        base_url = f'http://{self._settings.platform}'
+        while True:
+            try:
+                listing = await asyncio.to_thread(read_listing, http, base_url)
+            except StoreError:
+                self._log.warn('The instance list does not answer.')
+            else:
+                self._take_listing(listing)
+            await asyncio.sleep(LIST_EVERY_S)
+
+    async def _recheck(self) -> None:
+        while True:
+            await asyncio.sleep(RECHECK_EVERY_S)
+            self.dispatcher.recheck()
+
+    async def _collect_claims(self) -> None:
+        while True:
+            await asyncio.sleep(COLLECT_EVERY_S)
+            if self._lease.fence is None:
+                continue
+            try:
+                removed = await self._claims.collect()
+            except StoreError:
+                continue
+            self._log.note('Collected expired claims.', removed=removed)
+
+    def _take_listing(self, listing: Listing) -> None:
+        self._listing = listing
+        seeds = [
+            Member(entry.name, entry.peer_address, entry.caller_address)
+            for entry in listing.entries
+        ]
+        self.gossip.list_seeds(tuple(seeds))
+        pools: dict[str, list[ServerView]] = {}
+        for server in listing.servers:
+            pools.setdefault(server.pool, []).append(server)
+        self.host.list_servers(
+            {pool: tuple(servers) for pool, servers in pools.items()},
+        )
+        self._addresses = {
+            server.name: server.address for server in listing.servers
+        }
+
+    def _take_members(self) -> None:
+        membership = self.gossip.membership
+        live = membership.live
+        self._links.set_addresses(
+            {member.name: member.peer_address for member in live},
+        )
+        self.tree_watch.set_members(tuple(live))
+        names = {member.name for member in membership.serving}
+        for gone in self.dispatcher.instances - {m.name for m in live}:
+            self.host.lose_entry(gone)
+        self.dispatcher.set_instances(names)
+
+    def _take_version(self, version: TreeVersion) -> None:
+        self._tell_self()
+
+    def _tell_self(self) -> None:
+        self.gossip.tell_self(
+            leaving=self._leaving,
+            tree_version=self.tree_watch.book.number,
+        )
+
+    def _address_of(self, server: str) -> str:
+        return self._addresses.get(server, '')
+
+    def _policy_of(self, group: str) -> BrokerPolicy:
+        version = self.tree_watch.book.current
+        pool = Pool()
+        if version is not None:
+            name = group.removeprefix(FALLBACK)
+            pool = version.tree.root.pools.get(name, pool)
+        sharers = 1
+        if group.startswith(FALLBACK) or self.dispatcher.alone:
+            sharers = max(1, len(self.gossip.membership.serving))
+        return BrokerPolicy(
+            LimitPolicy(
+                start=max(1, pool.slots // sharers),
+                least=1 if sharers > 1 else 2,
+                most=max(1, pool.slots_most // sharers),
+                token_s=pool.token_ms / MS_PER_S,
+            ),
+            in_order=self._settings.ordered,
+            pauses=self._settings.ordered,
+        )
+
+
+def _spread(found: list[Address]) -> list[Address]:
+    """Put one instance of each zone before a second of any."""
+    seen: dict[str, int] = {}
+    ranks = []
+    for address in found:
+        seen[address.zone] = seen.get(address.zone, 0) + 1
+        ranks.append(seen[address.zone])
+    order = sorted(range(len(found)), key=ranks.__getitem__)
+    return [found[index] for index in order]
+
+
+def _stamp() -> str:
+    return datetime.now(UTC).isoformat(timespec='seconds')
--- /dev/null
+++ b/src/siskinpass/process/placement.py
@@ -0,0 +1,173 @@
+"""Choose the backend server for a granted ticket.
+
+Pure logic. Own observations decide; a server much slower than the median
+of its group gets little, and at most a fraction of the group is set aside.
+"""
+
+import statistics
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from siskinpass.process.limits import LimitPolicy, SlotLimit
+from siskinpass.request.ticket import ServerView, Ticket
+
+SLOW_RATIO = 2.0
+SLOW_FRACTION = 0.34
+SLOW_SLOTS = 1
+SHUN_S = 0.25
+FAILURES_COUNTED = 5
+PREFIXES_KEPT = 4096
+AFFINITY_SLOTS = 2
+AVOIDED_PENALTY = 4.0
+
+
+@dataclass(slots=True)
+class Server:
+    """Hold what the broker knows of one backend server."""
+
+    view: ServerView
+    limit: SlotLimit
+    running: int = 0
+    slow: bool = False
+    failures: int = 0
+    shunned_until_s: float = 0.0
+
+    def note_end(self, now_s: float, *, failed: bool) -> None:
+        """Shun a server that failed, longer with each failure in a row."""
+        if not failed:
+            self.failures = 0
+            return
+        self.failures = min(self.failures + 1, FAILURES_COUNTED)
+        shun_s = SHUN_S * 2 ** (self.failures - 1)
+        self.shunned_until_s = now_s + shun_s
+
+    def free_slots(self, now_s: float) -> int:
+        """Return how many more requests it may get."""
+        if self.view.leaving or now_s < self.shunned_until_s:
+            return 0
+        if self.failures:
+            # One request at a time probes a server that has failed.
+            return 1 - self.running
+        slots = self.limit.slots
+        if self.slow:
+            # A slow server keeps one slot, whose tokens probe its recovery.
+            slots = min(slots, SLOW_SLOTS)
+        return slots - self.running
+
+
+class ServerTable:
+    """Own the backend servers of one group."""
+
+    def __init__(self, policy: LimitPolicy) -> None:
+        """Start without servers."""
+        self._policy = policy
+        self._servers: dict[str, Server] = {}
+        self._prefixes: OrderedDict[int, str] = OrderedDict()
+
+    @property
+    def servers(self) -> Iterable[Server]:
+        """Return the servers in a stable order."""
+        return self._servers.values()
+
+    @property
+    def slots(self) -> int:
+        """Return the slots of all servers that take new requests."""
+        return sum(
+            server.limit.slots
+            for server in self._servers.values()
+            if not server.view.leaving
+        )
+
+    def free_slots(self, now_s: float) -> int:
+        """Return the slots that can be granted now."""
+        return sum(
+            max(0, server.free_slots(now_s))
+            for server in self._servers.values()
+        )
+
+    def find(self, name: str) -> Server | None:
+        """Return a server by its name."""
+        return self._servers.get(name)
+
+    def replace(self, views: Iterable[ServerView]) -> None:
+        """Take the listed servers; a known one keeps its history."""
+        listed = {view.name: view for view in views}
+        for name, view in sorted(listed.items()):
+            known = self._servers.get(name)
+            if known is None:
+                self._servers[name] = Server(view, SlotLimit(self._policy))
+            else:
+                known.view = view
+        for gone in self._servers.keys() - listed.keys():
+            server = self._servers[gone]
+            if server.running:
+                _mark_leaving(server)
+            else:
+                self._servers.pop(gone)
+
+    def mark_slow(self, now_s: float) -> None:
+        """Set aside the servers that are much slower than the median."""
+        speeds = {
+            name: server.limit.token_s
+            for name, server in self._servers.items()
+            if server.limit.token_s > 0 and not server.view.leaving
+        }
+        if len(speeds) < 2:
+            return
+        bound = SLOW_RATIO * statistics.median(speeds.values())
+        suspects = sorted(
+            (name for name in speeds if speeds[name] > bound),
+            key=speeds.__getitem__,
+            reverse=True,
+        )
+        aside = suspects[: max(1, int(len(speeds) * SLOW_FRACTION))]
+        for name, server in self._servers.items():
+            server.slow = name in aside and not server.limit.is_stale(now_s)
+
+    def choose(self, ticket: Ticket, now_s: float) -> Server | None:
+        """Return the best server with a free slot, or none."""
+        best = None
+        best_cost = float('inf')
+        holder = self._prefixes.get(ticket.prefix) if ticket.prefix else None
+        for server in self._servers.values():
+            if server.free_slots(now_s) <= 0:
+                continue
+            cost = _cost(server, ticket, holder)
+            if cost < best_cost:
+                best, best_cost = server, cost
+        return best
+
+    def remember(self, prefix: int, name: str) -> None:
+        """Note which server has a prompt prefix in its cache."""
+        if not prefix:
+            return
+        self._prefixes[prefix] = name
+        self._prefixes.move_to_end(prefix)
+        if len(self._prefixes) > PREFIXES_KEPT:
+            self._prefixes.popitem(last=False)
+
+
+def _mark_leaving(server: Server) -> None:
+    view = server.view
+    server.view = ServerView(
+        view.name,
+        view.address,
+        view.pool,
+        view.zone,
+        leaving=True,
+    )
+
+
+def _cost(server: Server, ticket: Ticket, holder: str | None) -> float:
+    load = float(server.running)
+    if server.view.name == holder and not server.slow:
+        load -= AFFINITY_SLOTS
+    cost = (load + AFFINITY_SLOTS + 1) / max(1, server.limit.slots)
+    if server.limit.token_s > 0:
+        cost *= server.limit.token_s
+    if server.view.name == ticket.avoid:
+        cost *= AVOIDED_PENALTY
+    if server.slow:
+        cost *= AVOIDED_PENALTY
+    return cost
--- /dev/null
+++ b/src/siskinpass/process/relay.py
@@ -0,0 +1,249 @@
+"""Carry each caller's request to a backend server and its answer back."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from siskinpass.codes import MEANINGS, Code, Ran
+from siskinpass.connection.backend import BackendPool
+from siskinpass.connection.caller import CallerConnection
+from siskinpass.exceptions import (
+    RefusedError,
+    RequestError,
+    SiskinpassError,
+)
+from siskinpass.process.attempt import CallerGoneError
+from siskinpass.process.claims import Claims, HeldClaim, Replay
+from siskinpass.process.counts import CountBook, Outcome
+from siskinpass.process.dispatcher import Dispatcher
+from siskinpass.process.logs import PartLog
+from siskinpass.process.metrics import Metrics
+from siskinpass.process.run import RequestRun, RunResult, RunTools
+from siskinpass.process.streams import StreamWatch
+from siskinpass.request.answer import error_answer, whole_answer
+from siskinpass.request.call import Call, read_call
+from siskinpass.request.claim import ClaimState
+from siskinpass.request.head import RequestHead
+from siskinpass.request.retry import RetryBudget
+from siskinpass.version.book import VersionBook
+
+MS_PER_S = 1000
+LEAVING_RETRY_MS = 100
+POST = 'POST'
+
+
+@dataclass(frozen=True, slots=True)
+class RelayParts:
+    """Hold what the relay works with."""
+
+    name: str
+    incarnation: int
+    book: VersionBook
+    dispatcher: Dispatcher
+    backends: BackendPool
+    watch: StreamWatch
+    claims: Claims
+    counts: CountBook
+    metrics: Metrics
+    address_of: Callable[[str], str]
+
+
+class Relay:
+    """Start a task for each request and bring it to its one answer."""
+
+    def __init__(self, parts: RelayParts) -> None:
+        """Keep the parts."""
+        self._parts = parts
+        self._loop = asyncio.get_running_loop()
+        self._numbers = itertools.count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._log = PartLog('relay')
+        self._tools = RunTools(
+            parts.name,
+            parts.dispatcher,
+            parts.backends,
+            parts.watch,
+            RetryBudget(),
+            parts.metrics.retried,
+            parts.address_of,
+        )
+        self.leaving = False
+
+    @property
+    def open_requests(self) -> int:
+        """Return how many requests are being answered."""
+        return len(self._tasks)
+
+    def serve(self, caller: CallerConnection, head: RequestHead) -> None:
+        """Start to answer a request."""
+        task = self._loop.create_task(self._serve(caller, head))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def drain(self) -> None:
+        """Wait until every request is answered."""
+        while self._tasks:
+            await asyncio.wait(tuple(self._tasks))
+
+    async def _serve(
+        self,
+        caller: CallerConnection,
+        head: RequestHead,
+    ) -> None:
+        arrived_s = self._loop.time()
+        try:
+            call = await self._check(caller, head)
+        except SiskinpassError as error:
+            self._answer_error(caller, error, MEANINGS[error.code].ran)
+            return
+        request_id = self._next_id()
+        result = await self._answer(caller, head, call, request_id, arrived_s)
+        self._count(call, result, arrived_s)
+
+    async def _check(
+        self,
+        caller: CallerConnection,
+        head: RequestHead,
+    ) -> Call:
+        if head.method != POST:
+            raise RequestError(Code.wrong_method)
+        body = await caller.read_body(head.length)
+        if self.leaving:
+            raise RefusedError(
+                Code.instance_leaving,
+                '',
+                LEAVING_RETRY_MS,
+            )
+        version = self._parts.book.current
+        if version is None:
+            raise RefusedError(Code.no_tree_in_force, '', MS_PER_S)
+        return read_call(head, body, version)
+
+    async def _answer(
+        self,
+        caller: CallerConnection,
+        head: RequestHead,
+        call: Call,
+        request_id: str,
+        arrived_s: float,
+    ) -> RunResult:
+        run = RequestRun(self._tools, call, caller, request_id, arrived_s)
+        claim = None
+        try:
+            claim = await self._claim(caller, head, call)
+            if isinstance(claim, Replay):
+                return RunResult(request_id)
+            await run.answer(keep_alive=head.keep_alive)
+        except CallerGoneError as error:
+            run.result.gone = True
+            caller.abort()
+            self._settle(claim, call, run, error)
+            return run.result
+        except SiskinpassError as error:
+            run.result.code = error.code
+            self._settle(claim, call, run, error)
+            self._end_with_error(caller, run, error)
+            return run.result
+        self._settle(claim, call, run, None)
+        caller.finish(keep_alive=head.keep_alive and not self.leaving)
+        return run.result
+
+    async def _claim(
+        self,
+        caller: CallerConnection,
+        head: RequestHead,
+        call: Call,
+    ) -> HeldClaim | Replay | None:
+        if call.repeatable or not call.idempotency_key:
+            return None
+        claim = await self._parts.claims.make(call)
+        if isinstance(claim, Replay):
+            wire = whole_answer(
+                claim.status,
+                claim.body,
+                {'X-Siskinpass-Replayed': 'yes', 'X-Siskinpass-Ran': 'yes'},
+                keep_alive=head.keep_alive,
+            )
+            caller.write(wire)
+            caller.finish(keep_alive=head.keep_alive)
+        return claim
+
+    def _settle(
+        self,
+        claim: HeldClaim | Replay | None,
+        call: Call,
+        run: RequestRun,
+        error: SiskinpassError | None,
+    ) -> None:
+        if not isinstance(claim, HeldClaim):
+            return
+        if error is None:
+            state = ClaimState.done
+        elif run.ran is Ran.no:
+            state = ClaimState.not_run
+        else:
+            state = ClaimState.unknown
+        settling = self._parts.claims.settle(
+            claim,
+            state,
+            run.result.status,
+            run.result.body,
+        )
+        task = self._loop.create_task(settling)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _end_with_error(
+        self,
+        caller: CallerConnection,
+        run: RequestRun,
+        error: SiskinpassError,
+    ) -> None:
+        if run.started:
+            # A stream that has begun can only be cut, so that it is not
+            # taken for whole.
+            self._parts.metrics.refused(error.code)
+            run.write_late_error(error)
+            caller.abort_after_write()
+            return
+        self._answer_error(caller, error, run.ran)
+
+    def _answer_error(
+        self,
+        caller: CallerConnection,
+        error: SiskinpassError,
+        ran: Ran,
+    ) -> None:
+        self._parts.metrics.refused(error.code)
+        wire = error_answer(
+            error.code,
+            str(error),
+            error.retry_after_ms,
+            ran=ran,
+        )
+        caller.write(wire)
+        caller.finish(keep_alive=False)
+
+    def _count(self, call: Call, result: RunResult, arrived_s: float) -> None:
+        if result.gone:
+            return
+        if result.code is None:
+            self._parts.metrics.answered(call.node, result.tokens)
+        promise = call.promise
+        met = result.code is None and result.meets(promise)
+        self._parts.counts.note(
+            Outcome(
+                call.node,
+                met,
+                refused=result.code is not None,
+                first_ms=result.first_ms,
+                waited_ms=result.waited_ms,
+            ),
+            self._loop.time(),
+        )
+
+    def _next_id(self) -> str:
+        parts = self._parts
+        number = next(self._numbers)
+        return f'{parts.name}-{parts.incarnation}-{number}'
--- /dev/null
+++ b/src/siskinpass/process/run.py
@@ -0,0 +1,375 @@
+"""Bring one request to its answer, over as many attempts as it may take."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from siskinpass.codes import Code, Ran
+from siskinpass.connection.backend import BackendPool
+from siskinpass.connection.caller import CHUNKS_END, CallerConnection
+from siskinpass.connection.dialect import (
+    assemble,
+    engine_request,
+    event_marker,
+    service_request,
+)
+from siskinpass.exceptions import (
+    BackendError,
+    ConnectError,
+    RefusedError,
+    SiskinpassError,
+)
+from siskinpass.process.attempt import Attempt, CallerGoneError
+from siskinpass.process.dispatcher import Dispatcher
+from siskinpass.process.streams import StreamWatch
+from siskinpass.request.answer import error_body, stream_head, whole_answer
+from siskinpass.request.call import CHAT_PATH, Call
+from siskinpass.request.retry import RetryBudget
+from siskinpass.request.stream import TokenTap
+from siskinpass.request.ticket import Refused, Ticket
+from siskinpass.version.schema import Promise
+
+MS_PER_S = 1000
+ATTEMPTS_MOST = 16
+PAUSES_MOST = 3
+BACKEND_RETRY_MS = 500
+ANSWER_BYTES_MOST = 8_388_608
+
+# Attempts that end for these reasons are not the backend server's fault.
+UNCHARGED = frozenset((Code.retry_paused,))
+RETRY_REASONS = {
+    Code.backend_unreachable: Code.retry_connect_failed,
+    Code.stream_cut: Code.retry_stream_cut,
+    Code.stream_silent: Code.retry_stream_silent,
+    Code.answer_crossed: Code.retry_answer_crossed,
+    Code.backend_error: Code.retry_reset,
+}
+
+
+@dataclass(slots=True)
+class RunResult:
+    """Collect how a request went.
+
+    :param code: numbered code that ended it, none for a whole answer.
+    :param gone: whether the caller went away.
+    :param waited_ms: arrival to the first slot.
+    :param first_ms: arrival to the first token, 0 before it.
+    :param token_ms: mean time between tokens.
+    """
+
+    request_id: str
+    code: Code | None = None
+    gone: bool = False
+    status: int = 0
+    body: bytes = b''
+    tokens: int = 0
+    waited_ms: float = 0
+    first_ms: float = 0
+    token_ms: float = 0
+
+    def meets(self, promise: Promise) -> bool:
+        """Tell whether the latency targets of a class were met."""
+        in_time = self.first_ms <= promise.first_token_ms
+        return in_time and self.token_ms <= promise.token_ms
+
+
+@dataclass(frozen=True, slots=True)
+class RunTools:
+    """Hold what every run works with."""
+
+    name: str
+    dispatcher: Dispatcher
+    backends: BackendPool
+    watch: StreamWatch
+    budget: RetryBudget
+    note_retry: Callable[[Code], None]
+    address_of: Callable[[str], str]
+
+
+class RequestRun:
+    """Own one request from its check to its end."""
+
+    def __init__(
+        self,
+        tools: RunTools,
+        call: Call,
+        caller: CallerConnection,
+        request_id: str,
+        arrived_s: float,
+    ) -> None:
+        """Start before the first attempt."""
+        self._tools = tools
+        self._call = call
+        self._caller = caller
+        self._arrived_s = arrived_s
+        self._loop = asyncio.get_running_loop()
+        self._attempt: Attempt | None = None
+        self._slot: asyncio.Future[str] | None = None
+        self._avoid = ''
+        self._pauses = 0
+        self._events: list[bytes] = []
+        self._kept_bytes = 0
+        self._is_service = bool(call.service_path)
+        self._tap = None
+        if not self._is_service:
+            self._tap = TokenTap(event_marker(request_id))
+        self._keep_alive = False
+        self.started = False
+        self.ran = Ran.no
+        self.result = RunResult(request_id)
+
+    @property
+    def _has_tokens(self) -> bool:
+        return self._tap is not None and self._tap.tokens > 0
+
+    @property
+    def _is_pausable(self) -> bool:
+        may_repeat = self._call.repeatable and not self._is_service
+        return may_repeat and self._pauses < PAUSES_MOST
+
+    async def answer(self, *, keep_alive: bool) -> None:
+        """Answer the caller wholly.
+
+        :raises RefusedError: where the request was given up on.
+        :raises BackendError: where a backend server failed it for good.
+        :raises CallerGoneError: where the caller went away.
+        """
+        self._keep_alive = keep_alive
+        self._caller.on_lost = self._lose_caller
+        self._caller.on_flow = self._set_flow
+        promise = self._call.promise
+        self._tools.budget.earn(self._call.node, promise.retry_fraction)
+        for number in range(ATTEMPTS_MOST):
+            try:
+                await self._try(f'{self.result.request_id}.{number}')
+            except BackendError as error:
+                self._prepare_retry(error)
+            else:
+                self._finish()
+                return
+        raise BackendError(Code.retry_budget_spent)
+
+    def write_late_error(self, error: SiskinpassError) -> None:
+        """Tell of an error within a stream that has begun."""
+        body = error_body(error.code, str(error), error.retry_after_ms)
+        self._caller.write_chunk(b'event: error\ndata: %b\n\n' % body)
+
+    def granted(self, server: str) -> None:
+        """Take in that the ticket has a slot."""
+        if self._slot is not None and not self._slot.done():
+            self._slot.set_result(server)
+
+    def refused(self, refusal: Refused) -> None:
+        """Take in that the ticket is given up on."""
+        if self._slot is not None and not self._slot.done():
+            error = RefusedError(refusal.code, '', refusal.retry_after_ms)
+            self._slot.set_exception(error)
+
+    def paused(self) -> None:
+        """Make room for an upper tier."""
+        if self._attempt is not None:
+            self._attempt.break_off(BackendError(Code.retry_paused))
+
+    async def _try(self, ticket_id: str) -> None:
+        pool = self._call.promise.pool
+        dispatcher = self._tools.dispatcher
+        server = await self._wait_for_slot(ticket_id)
+        failed = True
+        try:
+            await self._run_on(server)
+            failed = False
+        except BackendError as error:
+            failed = error.code not in UNCHARGED
+            raise
+        finally:
+            dispatcher.release(pool, ticket_id, failed=failed)
+
+    async def _wait_for_slot(self, ticket_id: str) -> str:
+        promise = self._call.promise
+        if not self._caller.is_open:
+            raise CallerGoneError(Code.stream_cut)
+        ticket = Ticket(
+            ticket_id=ticket_id,
+            entry=self._tools.name,
+            pool=promise.pool,
+            node=self._call.node,
+            tier=promise.tier,
+            opened_s=self._arrived_s,
+            target_s=promise.first_token_ms / MS_PER_S,
+            patience_s=promise.max_wait_ms / MS_PER_S,
+            share=promise.share,
+            prefix=self._call.prefix,
+            pausable=self._is_pausable,
+            resumed=self._has_tokens or self._pauses > 0,
+            avoid=self._avoid,
+        )
+        self._slot = self._loop.create_future()
+        try:
+            self._tools.dispatcher.ask(ticket, self)
+            server = await self._slot
+        except CallerGoneError:
+            self._tools.dispatcher.withdraw(promise.pool, ticket_id)
+            raise
+        finally:
+            self._slot = None
+        if not self.result.waited_ms:
+            self.result.waited_ms = self._since_arrival_ms()
+        return server
+
+    async def _run_on(self, server: str) -> None:
+        address = self._tools.address_of(server)
+        self._avoid = server
+        if not address:
+            raise ConnectError(Code.backend_unreachable, f'no {server}')
+        fresh = not self._call.repeatable
+        connection = await self._tools.backends.connect(address, fresh=fresh)
+        if not self._caller.is_open:
+            connection.cancel()
+            raise CallerGoneError(Code.stream_cut)
+        attempt = Attempt(
+            self._call.promise.pool,
+            server,
+            self._tap,
+            self._forward,
+        )
+        self._attempt = attempt
+        # From here on the backend server may have run the request.
+        self.ran = Ran.unknown
+        attempt.start(connection, self._request(address))
+        self._tools.watch.add(attempt)
+        try:
+            await attempt.finished
+        finally:
+            self._attempt = None
+            self._tools.watch.discard(attempt)
+        self._check_whole(attempt)
+
+    def _request(self, address: str) -> bytes:
+        request_id = self.result.request_id
+        if self._is_service:
+            return service_request(self._call, request_id, address)
+        tokens = self._tap.tokens
+        return engine_request(self._call, request_id, address, tokens)
+
+    def _check_whole(self, attempt: Attempt) -> None:
+        if self._is_service:
+            told = attempt.headers.get('x-request-id')
+            if told != self.result.request_id:
+                self._events.clear()
+                raise BackendError(Code.answer_crossed)
+            self.result.status = attempt.status
+        self.ran = Ran.yes
+
+    def _forward(self, piece: bytes) -> None:
+        if not self.result.first_ms:
+            self.result.first_ms = self._since_arrival_ms()
+        if self._call.stream:
+            self._start_stream()
+            self._caller.write_chunk(piece)
+            return
+        self._kept_bytes += len(piece)
+        if self._kept_bytes > ANSWER_BYTES_MOST:
+            error = BackendError(Code.backend_error, 'the answer is too large')
+            self._attempt.break_off(error)
+            return
+        self._events.append(piece)
+
+    def _start_stream(self) -> None:
+        if self.started:
+            return
+        self.started = True
+        headers = {
+            'X-Request-Id': self.result.request_id,
+            'X-Siskinpass-Ran': Ran.yes.value,
+        }
+        self._caller.write(
+            stream_head(headers, keep_alive=self._keep_alive),
+        )
+
+    def _finish(self) -> None:
+        self._note_tokens()
+        if self._call.stream and not self._is_service:
+            self._start_stream()
+            self._caller.write(CHUNKS_END)
+            return
+        kept = b''.join(self._events)
+        if self._is_service:
+            self.result.body = kept
+            self.result.first_ms = self._since_arrival_ms()
+        else:
+            chat = self._call.path == CHAT_PATH
+            self.result.status = 200
+            self.result.body = assemble(kept, chat=chat)
+        headers = {
+            'X-Request-Id': self.result.request_id,
+            'X-Siskinpass-Ran': Ran.yes.value,
+        }
+        self._caller.write(
+            whole_answer(
+                self.result.status,
+                self.result.body,
+                headers,
+                keep_alive=self._keep_alive,
+            ),
+        )
+
+    def _note_tokens(self) -> None:
+        if self._tap is None:
+            return
+        self.result.tokens = self._tap.tokens
+        if self._tap.tokens > 1:
+            span_s = self._tap.last_s - self._tap.first_s
+            gaps = self._tap.tokens - 1
+            self.result.token_ms = span_s * MS_PER_S / gaps
+
+    def _prepare_retry(self, error: BackendError) -> None:
+        """Make ready for another attempt, or raise where there is none."""
+        if self._tap is not None:
+            self._tap.drop_partial()
+        if self._is_service:
+            self._events.clear()
+        self._check_may_retry(error)
+        if error.code is Code.retry_paused:
+            self._pauses += 1
+        elif self._is_charged(error) and not self._spend_retry():
+            raise BackendError(
+                Code.retry_budget_spent,
+                str(error),
+                BACKEND_RETRY_MS,
+            ) from error
+        self._tools.note_retry(RETRY_REASONS.get(error.code, error.code))
+
+    def _is_charged(self, error: BackendError) -> bool:
+        """Tell whether an attempt comes out of the retry budget.
+
+        A stream that has begun must be brought to its end, and a connection
+        that was refused cost the backend server nothing.
+        """
+        return not (self._has_tokens or isinstance(error, ConnectError))
+
+    def _spend_retry(self) -> bool:
+        return self._tools.budget.spend(self._call.node)
+
+    def _check_may_retry(self, error: BackendError) -> None:
+        if isinstance(error, ConnectError):
+            # Nothing was sent in this attempt; an earlier one may have run.
+            return
+        if error.code is Code.retry_backend_leaving:
+            self.ran = Ran.no if not self._has_tokens else self.ran
+            return
+        if not self._call.repeatable:
+            raise BackendError(Code.outcome_unknown, str(error)) from error
+
+    def _lose_caller(self) -> None:
+        error = CallerGoneError(Code.stream_cut)
+        if self._slot is not None and not self._slot.done():
+            self._slot.set_exception(error)
+        if self._attempt is not None:
+            self._attempt.break_off(error)
+
+    def _set_flow(self, on: bool) -> None:  # noqa: FBT001
+        if self._attempt is not None:
+            self._attempt.set_flow(on=on)
+
+    def _since_arrival_ms(self) -> float:
+        return (self._loop.time() - self._arrived_s) * MS_PER_S
--- /dev/null
+++ b/src/siskinpass/process/settings.py
@@ -0,0 +1,144 @@
+"""Check the settings of one process."""
+
+import ipaddress
+import ssl
+from dataclasses import dataclass
+from pathlib import Path
+
+from siskinpass.codes import Code
+from siskinpass.exceptions import SettingsError
+from siskinpass.process.peers import PeerSecurity
+
+PORT_MOST = 65_535
+KEY_LENGTH_LEAST = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Hold the settings of one entry instance.
+
+    Addresses are ``ip:port``.
+
+    :param callers: address that callers connect to.
+    :param operators: address of the operators' side.
+    :param peers: address of heartbeats and broker sessions.
+    :param announced_callers: what ``/address`` tells, if not ``callers``.
+    :param announced_peers: what other instances are told, if not ``peers``.
+    :param platform: object store and instance list.
+    :param threads: request threads of CherryPy's server.
+    :param decisions: ``shared`` for one broker for all instances, or
+        ``alone`` for decisions without the other instances.
+    :param ordered: whether tiers order the queue.
+    """
+
+    name: str
+    zone: str
+    callers: str
+    operators: str
+    peers: str
+    platform: str
+    operator_key: str
+    peer_key: str
+    announced_callers: str = ''
+    announced_peers: str = ''
+    certificate: Path | None = None
+    private_key: Path | None = None
+    peer_certificate: Path | None = None
+    peer_private_key: Path | None = None
+    peer_authority: Path | None = None
+    threads: int = 8
+    decisions: str = 'shared'
+    ordered: bool = True
+
+
+def check_settings(settings: Settings) -> None:
+    """Check the settings.
+
+    :raises SettingsError: for the first setting that is wrong.
+    """
+    for name in ('callers', 'operators', 'peers', 'platform'):
+        _check_address(name, getattr(settings, name))
+    for name in ('announced_callers', 'announced_peers'):
+        if getattr(settings, name):
+            _check_address(name, getattr(settings, name))
+    for name in ('operator_key', 'peer_key'):
+        if len(getattr(settings, name)) < KEY_LENGTH_LEAST:
+            raise _wrong(name, f'is shorter than {KEY_LENGTH_LEAST}')
+    if settings.threads < 1:
+        raise _wrong('threads', 'is less than 1')
+    if settings.decisions not in {'shared', 'alone'}:
+        raise _wrong('decisions', 'is not shared or alone')
+    if not settings.name.replace('-', '').isalnum():
+        raise _wrong('name', 'is not made of letters, digits and dashes')
+    load_tls(settings)
+    load_peer_security(settings)
+
+
+def load_tls(settings: Settings) -> ssl.SSLContext | None:
+    """Return the TLS context of callers' and operators' sides, or none."""
+    if settings.certificate is None:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    _load_chain(
+        context,
+        settings.certificate,
+        settings.private_key,
+        'certificate',
+    )
+    return context
+
+
+def load_peer_security(settings: Settings) -> PeerSecurity:
+    """Return what the instances show each other."""
+    if settings.peer_certificate is None:
+        return PeerSecurity(settings.peer_key)
+    server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    client = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    client.check_hostname = False
+    server.verify_mode = ssl.CERT_REQUIRED
+    for context in (server, client):
+        _load_chain(
+            context,
+            settings.peer_certificate,
+            settings.peer_private_key,
+            'peer_certificate',
+        )
+        _load_authority(context, settings.peer_authority)
+        context.set_alpn_protocols(['h2'])
+    return PeerSecurity(settings.peer_key, server, client)
+
+
+def _load_chain(
+    context: ssl.SSLContext,
+    certificate: Path,
+    private_key: Path | None,
+    name: str,
+) -> None:
+    try:
+        context.load_cert_chain(certificate, private_key)
+    except (OSError, ssl.SSLError) as error:
+        raise _wrong(name, f'cannot be loaded: {error}') from error
+
+
+def _load_authority(context: ssl.SSLContext, authority: Path | None) -> None:
+    if authority is None:
+        raise _wrong('peer_authority', 'is missing')
+    try:
+        context.load_verify_locations(authority)
+    except (OSError, ssl.SSLError) as error:
+        reason = f'cannot be loaded: {error}'
+        raise _wrong('peer_authority', reason) from error
+
+
+def _check_address(name: str, address: str) -> None:
+    host, colon, port = address.rpartition(':')
+    if not colon or not port.isdigit() or int(port) > PORT_MOST:
+        raise _wrong(name, f'is not ip:port: {address}')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise _wrong(name, f'is not an IP number: {host}') from error
+
+
+def _wrong(name: str, reason: str) -> SettingsError:
+    return SettingsError(Code.setting_wrong, f'{name} {reason}')
--- /dev/null
+++ b/src/siskinpass/process/status.py
@@ -0,0 +1,333 @@
+"""Merge the counts of all instances and judge every promise.
+
+The holder of the status lease asks its peers for their counts each second,
+judges, and writes the result to the object store; each instance can tell it.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from siskinpass.exceptions import (
+    StoreConflictError,
+    StoreError,
+)
+from siskinpass.process import peer_pb2 as pb
+from siskinpass.process.breach import (
+    BreachPolicy,
+    BreachWatch,
+    NodeState,
+    PromiseState,
+)
+from siskinpass.process.counts import CountBook, Tally, merge
+from siskinpass.process.lease import LeaseLogic, LeaseRecord
+from siskinpass.process.logs import PartLog
+from siskinpass.process.membership import Member
+from siskinpass.process.peers import PeerLinks
+from siskinpass.process.store import Store
+from siskinpass.process.treewatch import PEER_ERRORS
+from siskinpass.version.book import VersionBook
+
+LEASE = 'leases/status'
+STATUS = 'status/promises'
+LEASE_S = 6.0
+MARGIN_S = 1.5
+EVERY_S = 1.0
+LEASE_EVERY_S = 2.0
+CALL_TIMEOUT_S = 0.8
+ALARMS_KEPT = 200
+MEDIAN = 0.5
+TAIL = 0.95
+
+
+@dataclass(frozen=True, slots=True)
+class Alarm:
+    """Describe one breach that was raised or cleared."""
+
+    node: str
+    state: str
+    cause: str
+    at: float
+
+
+class LeaseKeeper:
+    """Keep trying for one lease in the object store."""
+
+    def __init__(self, store: Store, key: str, own: str) -> None:
+        """Start without the lease."""
+        self._store = store
+        self._key = key
+        self._logic = LeaseLogic(own, LEASE_S, MARGIN_S)
+        self._loop = asyncio.get_running_loop()
+        self._log = PartLog('lease')
+
+    @property
+    def fence(self) -> int | None:
+        """Return the fencing number while the lease is held."""
+        return self._logic.fence(self._loop.time())
+
+    async def run(self) -> None:
+        """Take, renew or wait for the lease for ever."""
+        while True:
+            try:
+                await self._step()
+            except StoreError:
+                self._logic.failed()
+            await asyncio.sleep(LEASE_EVERY_S)
+
+    async def _step(self) -> None:
+        held = self.fence is not None
+        if not held:
+            stored = await self._store.read(self._key)
+            record = LeaseRecord.load(stored.body) if stored else None
+            version = stored.version if stored else 0
+            self._logic.observe(record, version, self._loop.time())
+        write = self._logic.next_write(self._loop.time())
+        if write is None:
+            return
+        body = write.record.dump()
+        if write.version == 0:
+            version = await self._store.create(self._key, body)
+        else:
+            version = await self._store.replace(
+                self._key,
+                body,
+                write.version,
+            )
+        self._logic.written(write, version)
+        if not held:
+            self._log.note('Took a lease.', fence=write.record.fence)
+
+
+class StatusKeeper:
+    """Judge the promises while the lease is held."""
+
+    def __init__(
+        self,
+        own: str,
+        store: Store,
+        links: PeerLinks,
+        book: VersionBook,
+        counts: CountBook,
+        members: Callable[[], list[Member]],
+        lease: LeaseKeeper,
+    ) -> None:
+        """Start with nothing judged."""
+        self._own = own
+        self._store = store
+        self._links = links
+        self._book = book
+        self._counts = counts
+        self._members = members
+        self._lease = lease
+        self._loop = asyncio.get_running_loop()
+        self._merged = CountBook()
+        self._watches: dict[str, BreachWatch] = {}
+        self._states: dict[str, NodeState] = {}
+        self._alarms: list[Alarm] = []
+        self._policy = BreachPolicy()
+        self._last = 0
+        self._cursors: dict[str, int] = {}
+        self._stored = b''
+        self._log = PartLog('status')
+        self._read_at_s = 0.0
+        self.document: dict[str, Any] = {'promises': {}, 'alarms': []}
+
+    async def run(self) -> None:
+        """Judge each second while the lease is held, else read."""
+        while True:
+            await asyncio.sleep(EVERY_S)
+            try:
+                await self._step()
+            except StoreError:
+                continue
+
+    async def _step(self) -> None:
+        fence = self._lease.fence
+        if fence is None:
+            self._watches.clear()
+            await self._read()
+            return
+        # The current second is still being counted.
+        last = int(self._loop.time()) - 1
+        if last <= self._last:
+            return
+        await self._collect(last)
+        self._judge(last)
+        self._last = last
+        await self._write(fence)
+
+    async def _collect(self, last: int) -> None:
+        own = encode_after(self._counts, self._seen(self._own), last)
+        self._merge(self._own, last, last, own)
+        others = [
+            member.name
+            for member in self._members()
+            if member.name != self._own
+        ]
+        await asyncio.gather(*[self._ask(name, last) for name in others])
+
+    async def _ask(self, name: str, last: int) -> None:
+        request = pb.CountsRequest(after_second=self._seen(name))
+        try:
+            stub = self._links.stub(name)
+            reply = await stub.ReadCounts(request, timeout=CALL_TIMEOUT_S)
+        except PEER_ERRORS:
+            self._links.drop(name)
+            return
+        self._merge(name, last, reply.last_second, reply.counts)
+
+    def _seen(self, name: str) -> int:
+        """Return the last second of an instance that was merged."""
+        return self._cursors.get(name, 0)
+
+    def _merge(
+        self,
+        name: str,
+        last: int,
+        peer_last: int,
+        counts: Iterable[pb.NodeCounts],
+    ) -> None:
+        self._cursors[name] = peer_last
+        for told in counts:
+            if told.age_s < self._policy.long_s:
+                tally = _decode_tally(told)
+                self._merged.add(last - told.age_s, told.node, tally)
+
+    def _judge(self, last: int) -> None:
+        version = self._book.current
+        if version is None:
+            return
+        for node in self._merged.nodes():
+            promise = version.tree.promise(*node.split('/', 1))
+            if promise is None:
+                continue
+            watch = self._watches.get(node)
+            if watch is None:
+                watch = BreachWatch(self._policy, promise.objective)
+                self._watches[node] = watch
+            seconds = self._merged.window(node, last, self._policy.long_s)
+            self._note(node, watch.judge(seconds, last))
+        self.document = self._describe(last)
+
+    def _note(self, node: str, state: NodeState) -> None:
+        before = self._states.get(node)
+        self._states[node] = state
+        was = before is not None and before.state is PromiseState.breached
+        now = state.state is PromiseState.breached
+        if was == now:
+            return
+        alarm = Alarm(
+            node,
+            'raised' if now else 'cleared',
+            state.cause.value,
+            time.time(),
+        )
+        self._alarms.append(alarm)
+        del self._alarms[:-ALARMS_KEPT]
+        self._log.warn(
+            'A breach was raised.' if now else 'A breach was cleared.',
+            node=node,
+            cause=state.cause.value,
+        )
+
+    def _describe(self, last: int) -> dict[str, Any]:
+        promises = {}
+        for node, state in self._states.items():
+            tally = merge(
+                self._merged.window(node, last, self._policy.long_s),
+            )
+            met = tally.total - tally.missed
+            promises[node] = {
+                'state': state.state.value,
+                'cause': state.cause.value,
+                'burn': round(state.burn, 2),
+                'requests': tally.total,
+                'refused': tally.refused,
+                'attainment': round(met / tally.total, 4)
+                if tally.total
+                else None,
+                'first_ms_p50': tally.first_ms(MEDIAN),
+                'first_ms_p95': tally.first_ms(TAIL),
+            }
+        return {
+            'holder': self._own,
+            'at': time.time(),
+            'promises': promises,
+            'alarms': [
+                {
+                    'node': alarm.node,
+                    'state': alarm.state,
+                    'cause': alarm.cause,
+                    'at': alarm.at,
+                }
+                for alarm in self._alarms
+            ],
+        }
+
+    async def _write(self, fence: int) -> None:
+        body = orjson.dumps({**self.document, 'fence': fence})
+        stored = await self._store.read(STATUS)
+        if stored is None:
+            await self._store.create(STATUS, body)
+            return
+        known = orjson.loads(stored.body)
+        if known.get('fence', 0) > fence:
+            return
+        try:
+            await self._store.replace(STATUS, body, stored.version)
+        except StoreConflictError:
+            self._log.warn('Another instance wrote the status.')
+
+    async def _read(self) -> None:
+        if self._loop.time() - self._read_at_s < LEASE_EVERY_S:
+            return
+        self._read_at_s = self._loop.time()
+        stored = await self._store.read(STATUS)
+        if stored is not None:
+            self.document = orjson.loads(stored.body)
+
+
+def encode_after(
+    counts: CountBook,
+    second: int,
+    last: int,
+) -> list[pb.NodeCounts]:
+    """Encode the tallies after one second, up to the last whole one."""
+    return [
+        _encode_tally(node, last - at, tally)
+        for at, node, tally in counts.after(second)
+        if at <= last
+    ]
+
+
+def _encode_tally(node: str, age_s: int, tally: Tally) -> pb.NodeCounts:
+    buckets = [0] * (max(tally.firsts, default=-1) + 1)
+    for bucket, count in tally.firsts.items():
+        buckets[bucket] = count
+    return pb.NodeCounts(
+        node=node,
+        age_s=age_s,
+        total=tally.total,
+        missed=tally.missed,
+        refused=tally.refused,
+        slow_backend=tally.slow_backend,
+        first_buckets=buckets,
+    )
+
+
+def _decode_tally(counts: pb.NodeCounts) -> Tally:
+    tally = Tally(
+        counts.total,
+        counts.missed,
+        counts.refused,
+        counts.slow_backend,
+    )
+    for bucket, count in enumerate(counts.first_buckets):
+        if count:
+            tally.firsts[bucket] = count
+    return tally
--- /dev/null
+++ b/src/siskinpass/process/streams.py
@@ -0,0 +1,125 @@
+"""Watch all open streams for their speed and their silence."""
+
+import asyncio
+from typing import Protocol
+
+from siskinpass.codes import Code
+from siskinpass.exceptions import BackendError
+from siskinpass.process.dispatcher import Dispatcher
+from siskinpass.request.stream import TokenTap
+from siskinpass.request.ticket import TokensObserved
+
+SWEEP_S = 0.1
+SILENT_LEAST_S = 1.0
+SILENT_TOKEN_TIMES = 20
+FIRST_SILENT_S = 8.0
+WHOLE_SILENT_S = 15.0
+CALLER_STALLED_S = 30.0
+
+
+class Watched(Protocol):
+    """Describe what the watch needs of one attempt."""
+
+    pool: str
+    server: str
+    tap: TokenTap | None
+    sent_s: float
+    stalled_s: float
+
+    def break_off(self, error: BackendError) -> None:
+        """End the attempt."""
+
+    def drop_caller(self) -> None:
+        """Give up a caller that does not read."""
+
+
+class _Progress:
+    """Remember what the last sweep saw of one attempt."""
+
+    __slots__ = ('first_told', 'last_s', 'token_s', 'tokens')
+
+    def __init__(self, attempt: Watched) -> None:
+        self.tokens = attempt.tap.tokens if attempt.tap else 0
+        self.last_s = attempt.sent_s
+        self.token_s = 0.0
+        self.first_told = False
+
+
+class StreamWatch:
+    """Sweep over the open attempts."""
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        """Start without attempts."""
+        self._dispatcher = dispatcher
+        self._attempts: dict[Watched, _Progress] = {}
+        self._loop = asyncio.get_running_loop()
+
+    @property
+    def open_streams(self) -> int:
+        """Return how many attempts are open."""
+        return len(self._attempts)
+
+    def add(self, attempt: Watched) -> None:
+        """Watch an attempt."""
+        self._attempts[attempt] = _Progress(attempt)
+
+    def discard(self, attempt: Watched) -> None:
+        """Stop watching an attempt; its last tokens are still told of."""
+        progress = self._attempts.pop(attempt, None)
+        if progress is not None:
+            self._measure(attempt, progress)
+
+    async def run(self) -> None:
+        """Sweep for ever."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now_s = self._loop.time()
+            for attempt, progress in tuple(self._attempts.items()):
+                self._measure(attempt, progress)
+                self._check(attempt, progress, now_s)
+
+    def _measure(self, attempt: Watched, progress: _Progress) -> None:
+        tap = attempt.tap
+        if tap is None or attempt.stalled_s:
+            return
+        count = tap.tokens - progress.tokens
+        if count <= 0:
+            return
+        first_s = 0.0
+        if not progress.first_told:
+            # The first token's time is told apart from the time between
+            # tokens; a resumed stream counts from its own start.
+            progress.first_told = True
+            first_s = max(0.0, attempt.first_token_s - attempt.sent_s)
+            progress.last_s = attempt.first_token_s
+            count -= 1
+        token_s = (tap.last_s - progress.last_s) / count if count else 0.0
+        progress.token_s = token_s or progress.token_s
+        progress.tokens, progress.last_s = tap.tokens, tap.last_s
+        self._dispatcher.observe(
+            attempt.pool,
+            TokensObserved(attempt.server, token_s, first_s, count),
+        )
+
+    def _check(
+        self,
+        attempt: Watched,
+        progress: _Progress,
+        now_s: float,
+    ) -> None:
+        if attempt.stalled_s:
+            if now_s - attempt.stalled_s > CALLER_STALLED_S:
+                attempt.drop_caller()
+            return
+        if attempt.tap is None:
+            silent_s, bound_s = now_s - attempt.sent_s, WHOLE_SILENT_S
+        elif progress.first_told:
+            silent_s = now_s - progress.last_s
+            bound_s = max(
+                SILENT_LEAST_S,
+                SILENT_TOKEN_TIMES * progress.token_s,
+            )
+        else:
+            silent_s, bound_s = now_s - attempt.sent_s, FIRST_SILENT_S
+        if silent_s > bound_s:
+            attempt.break_off(BackendError(Code.stream_silent))
--- /dev/null
+++ b/src/siskinpass/process/throughput.py
@@ -0,0 +1,45 @@
+"""Estimate how long a ticket will wait from the recent rate of grants.
+
+Pure logic. The rate of a tier counts the grants of that tier and of all
+above it over a sliding window; a window that is not full gives no estimate.
+"""
+
+from collections import Counter, deque
+
+WINDOW_S = 5.0
+LEAST_GRANTS = 8
+
+
+class GrantRate:
+    """Count the grants of each tier over a sliding window."""
+
+    def __init__(self) -> None:
+        """Start with an empty window."""
+        self._grants: deque[tuple[float, int]] = deque()
+        self._counts: Counter[int] = Counter()
+
+    def note(self, tier: int, now_s: float) -> None:
+        """Count one grant."""
+        self._grants.append((now_s, tier))
+        self._counts[tier] += 1
+        self._forget(now_s)
+
+    def wait_s(self, tier: int, ahead: int, now_s: float) -> float:
+        """Return the expected wait behind a number of tickets.
+
+        :param tier: tier of the new ticket.
+        :param ahead: tickets that are served before it.
+        :returns: seconds, 0 while too little is known.
+        """
+        self._forget(now_s)
+        granted = sum(
+            count for other, count in self._counts.items() if other <= tier
+        )
+        if granted < LEAST_GRANTS or ahead == 0:
+            return 0.0
+        return ahead * WINDOW_S / granted
+
+    def _forget(self, now_s: float) -> None:
+        while self._grants and self._grants[0][0] < now_s - WINDOW_S:
+            _, tier = self._grants.popleft()
+            self._counts[tier] -= 1
--- /dev/null
+++ b/src/siskinpass/process/treewatch.py
@@ -0,0 +1,136 @@
+"""Follow the accepted versions of the tree.
+
+A few instances watch the store; the others learn of a new version from the
+heartbeats and read it from the instance that told them.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from siskinpass.exceptions import SiskinpassError, StoreError, TreeError
+from siskinpass.process import peer_pb2 as pb
+from siskinpass.process.logs import PartLog
+from siskinpass.process.membership import Member
+from siskinpass.process.peers import CALL_TIMEOUT_S, PeerLinks
+from siskinpass.process.rendezvous import rank
+from siskinpass.version.book import TreeVersion, VersionBook
+from siskinpass.version.repository import TreeRepository, load_version
+
+WATCHERS = 2
+WATCH_S = 10.0
+RETRY_S = 0.5
+IDLE_S = 0.5
+PEER_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError, KeyError)
+
+
+class TreeWatch:
+    """Own the version in force at this instance."""
+
+    def __init__(
+        self,
+        own: str,
+        repository: TreeRepository,
+        links: PeerLinks,
+        on_version: Callable[[TreeVersion], None],
+    ) -> None:
+        """Start with no version in force."""
+        self._own = own
+        self._repository = repository
+        self._links = links
+        self._on_version = on_version
+        self._book = VersionBook()
+        self._members: tuple[Member, ...] = ()
+        self._told = asyncio.Event()
+        self._stored_version = 0
+        self._log = PartLog('tree')
+
+    @property
+    def book(self) -> VersionBook:
+        """Return the version in force."""
+        return self._book
+
+    def set_members(self, members: tuple[Member, ...]) -> None:
+        """Take the live members and the versions that they told of."""
+        self._members = members
+        if any(member.tree_version > self._book.number for member in members):
+            self._told.set()
+
+    def offer(self, version: TreeVersion) -> None:
+        """Put a version in force if it is higher."""
+        if self._book.offer(version):
+            self._log.note('A version is in force.', number=version.number)
+            self._on_version(version)
+
+    async def run(self) -> None:
+        """Follow the store and the peers for ever."""
+        await asyncio.gather(self._follow_store(), self._follow_peers())
+
+    async def _follow_store(self) -> None:
+        while True:
+            if not (self._is_watcher() or self._book.current is None):
+                await asyncio.sleep(IDLE_S)
+                continue
+            try:
+                await self._read_store()
+            except StoreError:
+                await asyncio.sleep(RETRY_S)
+            except TreeError as error:
+                self._log.warn('The stored tree has faults.', why=str(error))
+                await asyncio.sleep(RETRY_S)
+
+    async def _read_store(self) -> None:
+        if self._book.current is None:
+            self._stored_version = 0
+        wait_s = WATCH_S if self._is_watcher() else 0.1
+        stored = await self._repository.watch(self._stored_version, wait_s)
+        if stored is None:
+            await asyncio.sleep(RETRY_S)
+            return
+        if stored.version == self._stored_version:
+            return
+        version = await self._repository.load(stored)
+        self._stored_version = stored.version
+        if version is not None:
+            self.offer(version)
+
+    async def _follow_peers(self) -> None:
+        while True:
+            await self._told.wait()
+            self._told.clear()
+            for member in self._ahead():
+                if await self._read_peer(member):
+                    break
+            if self._ahead():
+                await asyncio.sleep(RETRY_S)
+                self._told.set()
+
+    def _ahead(self) -> list[Member]:
+        number = self._book.number
+        return [
+            member
+            for member in self._members
+            if member.tree_version > number and member.name != self._own
+        ]
+
+    async def _read_peer(self, member: Member) -> bool:
+        request = pb.TreeRequest(newer_than=self._book.number)
+        try:
+            stub = self._links.stub(member.name)
+            reply = await stub.ReadTree(request, timeout=CALL_TIMEOUT_S)
+            if reply.version <= self._book.number:
+                return False
+            version = load_version(reply.version, reply.text)
+        except PEER_ERRORS:
+            self._links.drop(member.name)
+            return False
+        except SiskinpassError as error:
+            self._log.warn('A peer told a faulty tree.', why=str(error))
+            return False
+        self.offer(version)
+        return True
+
+    def _is_watcher(self) -> bool:
+        names = {member.name for member in self._members} | {self._own}
+        return self._own in rank('tree', names)[:WATCHERS]
--- /dev/null
+++ b/src/siskinpass/request/answer.py
@@ -0,0 +1,98 @@
+"""Write the answers that the router gives in its own name."""
+
+from http import HTTPStatus
+
+import orjson
+
+from siskinpass.codes import MEANINGS, Code, Ran
+
+MS_PER_S = 1000
+
+
+def status_text(status: int) -> str:
+    """Return the status line's text for a status."""
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return 'Status'
+
+
+def error_body(
+    code: Code,
+    detail: str = '',
+    retry_after_ms: int = 0,
+    ran: Ran | None = None,
+) -> bytes:
+    """Return the JSON body of a numbered error."""
+    meaning = MEANINGS[code]
+    error = {
+        'code': int(code),
+        'type': code.name,
+        'message': detail or meaning.text,
+        'ran': (ran or meaning.ran).value,
+    }
+    if retry_after_ms:
+        error['retry_after_ms'] = retry_after_ms
+    return orjson.dumps({'error': error})
+
+
+def error_answer(
+    code: Code,
+    detail: str = '',
+    retry_after_ms: int = 0,
+    *,
+    ran: Ran | None = None,
+    keep_alive: bool = False,
+) -> bytes:
+    """Return a numbered error as it goes over the wire.
+
+    :param retry_after_ms: when to come back, 0 where that does not help.
+    :param ran: goes before what the table of codes says.
+    """
+    meaning = MEANINGS[code]
+    headers = {
+        'X-Siskinpass-Code': str(int(code)),
+        'X-Siskinpass-Ran': (ran or meaning.ran).value,
+    }
+    if retry_after_ms:
+        seconds = -(-retry_after_ms // MS_PER_S)
+        headers['Retry-After'] = str(seconds)
+        headers['Retry-After-Ms'] = str(retry_after_ms)
+    body = error_body(code, detail, retry_after_ms, ran)
+    return whole_answer(meaning.status, body, headers, keep_alive=keep_alive)
+
+
+def whole_answer(
+    status: int,
+    body: bytes,
+    headers: dict[str, str],
+    *,
+    keep_alive: bool,
+) -> bytes:
+    """Return an answer with a known length as it goes over the wire."""
+    head = {
+        'Content-Type': 'application/json',
+        'Content-Length': str(len(body)),
+        'Connection': 'keep-alive' if keep_alive else 'close',
+        **headers,
+    }
+    return head_bytes(status, head) + body
+
+
+def stream_head(headers: dict[str, str], *, keep_alive: bool) -> bytes:
+    """Return the head of a streamed answer."""
+    head = {
+        'Content-Type': 'text/event-stream',
+        'Cache-Control': 'no-cache',
+        'Transfer-Encoding': 'chunked',
+        'Connection': 'keep-alive' if keep_alive else 'close',
+        **headers,
+    }
+    return head_bytes(HTTPStatus.OK, head)
+
+
+def head_bytes(status: int, headers: dict[str, str]) -> bytes:
+    """Return a response head as it goes over the wire."""
+    lines = [f'HTTP/1.1 {int(status)} {status_text(status)}']
+    lines.extend(f'{name}: {text}' for name, text in headers.items())
+    return '\r\n'.join((*lines, '', '')).encode('latin-1')
--- /dev/null
+++ b/src/siskinpass/request/call.py
@@ -0,0 +1,184 @@
+"""Check one request against the tree and turn it into a call.
+
+Pure logic: head, body and the version in force go in, a call or a numbered
+error comes out.
+"""
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from siskinpass.codes import Code
+from siskinpass.exceptions import RequestError
+from siskinpass.request.head import RequestHead
+from siskinpass.version.book import TreeVersion
+from siskinpass.version.schema import Pool, Promise
+
+CHAT_PATH = '/v1/chat/completions'
+TEXT_PATH = '/v1/completions'
+SERVICE_PREFIX = '/v1/services/'
+ENGINE_PATHS = frozenset((CHAT_PATH, TEXT_PATH))
+
+CLASS_HEADER = 'x-siskinpass-class'
+WORKSPACE_HEADER = 'x-siskinpass-workspace'
+REPEATABLE_HEADER = 'x-siskinpass-repeatable'
+IDEMPOTENCY_HEADER = 'idempotency-key'
+BEARER = 'Bearer '
+IDEMPOTENCY_KEY_LENGTH_MOST = 255
+PREFIX_CHARS = 256
+ENGINE = 'engine'
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """Hold one checked request.
+
+    :param node: path of its class, ``workspace/class``.
+    :param fields: the JSON body of a call to an engine, empty otherwise.
+    :param body: the body as the caller sent it.
+    :param service_path: path at a plain service, empty for an engine.
+    :param stream: whether the caller wants the answer as it comes.
+    :param repeatable: whether the call may run more than once.
+    :param idempotency_key: the caller's key, empty where there is none.
+    :param prefix: hash of the prompt's first part, 0 where it is short.
+    """
+
+    workspace: str
+    node: str
+    promise: Promise
+    pool: Pool
+    path: str
+    fields: Mapping[str, Any]
+    body: bytes
+    service_path: str
+    stream: bool
+    repeatable: bool
+    idempotency_key: str
+    prefix: int
+
+    @property
+    def digest(self) -> str:
+        """Return a hash that tells this request from another."""
+        text = f'{self.path}\n'.encode() + self.body
+        return hashlib.blake2b(text, digest_size=16).hexdigest()
+
+
+def read_call(
+    head: RequestHead,
+    body: bytes,
+    version: TreeVersion,
+) -> Call:
+    """Check a request.
+
+    :raises RequestError: with the code of what is wrong.
+    """
+    workspace, leaf = _identify(head, version)
+    promise = version.tree.promise(workspace, leaf)
+    if promise is None:
+        raise RequestError(Code.unknown_class, f'no class {leaf}')
+    is_service = head.path.startswith(SERVICE_PREFIX)
+    fields = {} if is_service else _parse_fields(body)
+    pool = version.tree.root.pools[promise.pool]
+    _check_kind(promise, pool, fields, is_service=is_service)
+    return Call(
+        workspace=workspace,
+        node=f'{workspace}/{leaf}',
+        promise=promise,
+        pool=pool,
+        path=head.path,
+        fields=fields,
+        body=body,
+        service_path=_service_path(head.path) if is_service else '',
+        stream=bool(fields.get('stream', False)),
+        repeatable=_is_repeatable(head, promise),
+        idempotency_key=_idempotency_key(head),
+        prefix=_prefix(fields),
+    )
+
+
+def _identify(head: RequestHead, version: TreeVersion) -> tuple[str, str]:
+    key = head.headers.get('authorization', '').removeprefix(BEARER)
+    found = version.keys.find(key) if key else None
+    if found is None:
+        raise RequestError(Code.unknown_key)
+    workspace, entry = found
+    if head.headers.get(WORKSPACE_HEADER, workspace) != workspace:
+        raise RequestError(Code.unknown_workspace)
+    leaf = head.headers.get(CLASS_HEADER, entry.default_class)
+    return workspace, leaf
+
+
+def _parse_fields(body: bytes) -> dict[str, Any]:
+    try:
+        fields = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise RequestError(Code.malformed_json, str(error)) from error
+    if not isinstance(fields, dict):
+        raise RequestError(Code.malformed_json)
+    return fields
+
+
+def _service_path(path: str) -> str:
+    _, slash, rest = path.removeprefix(SERVICE_PREFIX).partition('/')
+    return slash + rest or '/'
+
+
+def _check_kind(
+    promise: Promise,
+    pool: Pool,
+    fields: Mapping[str, Any],
+    *,
+    is_service: bool,
+) -> None:
+    if is_service == (pool.kind == ENGINE):
+        detail = f'the class goes to pool {promise.pool}'
+        raise RequestError(Code.unknown_path, detail)
+    if is_service:
+        return
+    if fields.get('model') not in pool.models:
+        detail = f'no model {fields.get("model")}'
+        raise RequestError(Code.unknown_model, detail)
+    _check_fields(fields, promise)
+
+
+def _check_fields(fields: Mapping[str, Any], promise: Promise) -> None:
+    if not isinstance(fields.get('stream', False), bool):
+        raise RequestError(Code.wrong_field, 'stream is not true or false')
+    if not isinstance(fields.get('prompt', ''), str):
+        raise RequestError(Code.wrong_field, 'prompt is not a string')
+    if not isinstance(fields.get('messages', []), list):
+        raise RequestError(Code.wrong_field, 'messages is not a list')
+    if 'prompt' not in fields and 'messages' not in fields:
+        raise RequestError(Code.wrong_field, 'prompt or messages is missing')
+    most = fields.get('max_tokens')
+    if most is None:
+        return
+    if type(most) is not int or not 1 <= most <= promise.max_tokens:
+        reason = f'max_tokens is not within 1 and {promise.max_tokens}'
+        raise RequestError(Code.wrong_field, reason)
+
+
+def _is_repeatable(head: RequestHead, promise: Promise) -> bool:
+    told = head.headers.get(REPEATABLE_HEADER, 'yes').lower()
+    if told not in {'yes', 'no'}:
+        raise RequestError(Code.wrong_field, 'repeatable is not yes or no')
+    return promise.repeatable and told == 'yes'
+
+
+def _idempotency_key(head: RequestHead) -> str:
+    key = head.headers.get(IDEMPOTENCY_HEADER, '')
+    if len(key) > IDEMPOTENCY_KEY_LENGTH_MOST:
+        raise RequestError(Code.wrong_field, 'the idempotency key is too long')
+    return key
+
+
+def _prefix(fields: Mapping[str, Any]) -> int:
+    start = fields.get('prompt') or str(fields.get('messages', ''))
+    if len(start) < PREFIX_CHARS:
+        return 0
+    text = f'{fields.get("model")}\n{start[:PREFIX_CHARS]}'
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest)
--- /dev/null
+++ b/src/siskinpass/request/stream.py
@@ -0,0 +1,95 @@
+"""Follow the events of one stream, so that it can be checked and resumed.
+
+Pure logic. Only whole events are passed on; a piece of one is held back, so
+that a stream that breaks off can go on elsewhere at the next token.
+"""
+
+from siskinpass.codes import Code
+from siskinpass.exceptions import BackendError
+
+EVENT_END = b'\n\n'
+DONE = b'data: [DONE]\n\n'
+HELD_BYTES_MOST = 262_144
+
+
+class TokenTap:
+    """Count the tokens of one stream and check whom they are for."""
+
+    def __init__(self, marker: bytes) -> None:
+        """Start before the first token.
+
+        :param marker: bytes that each event of this request must hold.
+        """
+        self._marker = marker
+        self._held = b''
+        self._tokens = 0
+        self._done = False
+        self._first_s = 0.0
+        self._last_s = 0.0
+
+    @property
+    def tokens(self) -> int:
+        """Return how many tokens were passed on, over all attempts."""
+        return self._tokens
+
+    @property
+    def done(self) -> bool:
+        """Return whether the end marker came."""
+        return self._done
+
+    @property
+    def first_s(self) -> float:
+        """Return when the first token came, 0 before it."""
+        return self._first_s
+
+    @property
+    def last_s(self) -> float:
+        """Return when the latest token came, 0 before the first."""
+        return self._last_s
+
+    def feed(self, piece: bytes, now_s: float) -> bytes:
+        """Take in bytes of a backend server and return those to pass on.
+
+        :raises BackendError: where an event is for another request, or
+            where bytes follow the end marker.
+        """
+        whole = self._whole_events(piece)
+        if not whole:
+            return b''
+        if self._done:
+            raise BackendError(Code.answer_crossed, 'bytes after the end')
+        events = whole.count(EVENT_END)
+        ended = whole.endswith(DONE)
+        if ended:
+            events -= 1
+        if whole.count(self._marker) != events:
+            raise BackendError(Code.answer_crossed)
+        self._done = ended
+        if events:
+            self._first_s = self._first_s or now_s
+            self._last_s = now_s
+            self._tokens += events
+        return whole
+
+    def drop_partial(self) -> None:
+        """Forget a piece of an event that broke off."""
+        self._held = b''
+
+    def _whole_events(self, piece: bytes) -> bytes:
+        if self._held:
+            piece = self._held + piece
+            self._held = b''
+        if piece.endswith(EVENT_END):
+            return piece
+        cut = piece.rfind(EVENT_END)
+        if cut < 0:
+            self._hold(piece)
+            return b''
+        cut += len(EVENT_END)
+        self._hold(piece[cut:])
+        return piece[:cut]
+
+    def _hold(self, piece: bytes) -> None:
+        if len(piece) > HELD_BYTES_MOST:
+            raise BackendError(Code.backend_error, 'an event is too large')
+        self._held = piece
--- /dev/null
+++ b/src/siskinpass/request/ticket.py
@@ -0,0 +1,185 @@
+"""Define the messages between an entry instance and a broker.
+
+All times are seconds of the receiver's own monotonic clock; what crosses a
+process is an age or a remaining time, never a clock reading.
+"""
+
+from dataclasses import dataclass
+
+from siskinpass.codes import Code
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Ask for one slot on a backend server.
+
+    :param ticket_id: unique over all instances and incarnations.
+    :param entry: instance that holds the caller's connection.
+    :param pool: backend servers that can serve the request.
+    :param node: path of the request class in the tree.
+    :param tier: priority, 0 is the most urgent.
+    :param opened_s: when the request arrived.
+    :param target_s: latency target from arrival to first token.
+    :param patience_s: longest wait before the request is refused.
+    :param share: fraction of freed slots guaranteed to the tier.
+    :param prefix: hash of the prompt's first part, 0 where unknown.
+    :param pausable: whether the stream may be cancelled and resumed.
+    :param resumed: whether some tokens were already delivered.
+    :param avoid: backend server that just failed for this request.
+    """
+
+    ticket_id: str
+    entry: str
+    pool: str
+    node: str
+    tier: int
+    opened_s: float
+    target_s: float
+    patience_s: float
+    share: float = 0.0
+    prefix: int = 0
+    pausable: bool = True
+    resumed: bool = False
+    avoid: str = ''
+
+    @property
+    def due_s(self) -> float:
+        """Return when the first token is due."""
+        return self.opened_s + self.target_s
+
+    @property
+    def gives_up_s(self) -> float:
+        """Return when the request is refused if it still waits."""
+        return self.opened_s + self.patience_s
+
+
+@dataclass(frozen=True, slots=True)
+class ServerView:
+    """Describe one backend server as the instance list tells it.
+
+    :param name: name of the backend server.
+    :param address: ``ip:port``.
+    :param pool: pool that it belongs to.
+    :param zone: availability zone.
+    :param leaving: whether it must get nothing new.
+    """
+
+    name: str
+    address: str
+    pool: str
+    zone: str = ''
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class TicketOpened:
+    """A request waits for a slot."""
+
+    ticket: Ticket
+
+
+@dataclass(frozen=True, slots=True)
+class TicketWithdrawn:
+    """The caller of a waiting request went away."""
+
+    ticket_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class GrantReleased:
+    """A slot is free again.
+
+    :param ticket_id: ticket that held the slot.
+    :param failed: whether the backend server failed the request.
+    """
+
+    ticket_id: str
+    failed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class GrantReported:
+    """An entry tells a new broker of a slot that it holds."""
+
+    ticket: Ticket
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class TokensObserved:
+    """An entry saw tokens of a backend server.
+
+    :param server: name of the backend server.
+    :param token_s: mean time between tokens in seconds.
+    :param first_s: time to the first token, 0 where none was seen.
+    :param count: tokens that the mean is made of.
+    """
+
+    server: str
+    token_s: float
+    first_s: float = 0.0
+    count: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class ServersListed:
+    """The backend servers of the group changed."""
+
+    servers: tuple[ServerView, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EntryLost:
+    """An entry instance died; its tickets and grants are void."""
+
+    entry: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClockTicked:
+    """Time passed."""
+
+
+Event = (
+    TicketOpened
+    | TicketWithdrawn
+    | GrantReleased
+    | GrantReported
+    | TokensObserved
+    | ServersListed
+    | EntryLost
+    | ClockTicked
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """A ticket may use one slot of a backend server."""
+
+    ticket_id: str
+    entry: str
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A ticket is given up on; the request was not run by this grant.
+
+    :param retry_after_ms: when the caller should come back.
+    """
+
+    ticket_id: str
+    entry: str
+    code: Code
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Paused:
+    """A running stream has to make room for an upper tier."""
+
+    ticket_id: str
+    entry: str
+
+
+Command = Granted | Refused | Paused
--- /dev/null
+++ b/src/siskinpass/version/repository.py
@@ -0,0 +1,290 @@
+"""Keep the accepted versions of the tree in the object store.
+
+One head object names the version: its number, the hash of its manifest and
+the latest edits with the nonces of their writers. A manifest names the root
+and the branches by their hashes, and all of these are objects of their own.
+An edit is accepted by the conditional update of the head, and by nothing
+else.
+"""
+
+import hashlib
+import secrets
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+from dataclasses import asdict, dataclass
+from typing import Any
+
+import orjson
+import yaml
+
+from siskinpass.codes import Code
+from siskinpass.exceptions import (
+    StoreConflictError,
+    StoreError,
+    StoreUnconfirmedError,
+    TreeError,
+)
+from siskinpass.process.store import Store, Stored
+from siskinpass.version.book import TreeVersion
+from siskinpass.version.document import parse_tree
+from siskinpass.version.edit import rebase
+from siskinpass.version.keys import KeyTable
+
+HEAD = 'tree/head'
+PART = 'tree/parts/'
+HISTORY_KEPT = 50
+TRIES = 4
+ROOT = '/'
+
+
+@dataclass(frozen=True, slots=True)
+class Edit:
+    """Describe one accepted edit, as the history tells it."""
+
+    number: int
+    author: str
+    message: str
+    nonce: str
+    at: str
+    manifest: str
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Hold the head object.
+
+    :param number: number of the version.
+    :param manifest: hash of the manifest, empty before the first version.
+    :param history: latest edits, the newest last.
+    """
+
+    number: int
+    manifest: str
+    history: tuple[Edit, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """Hold an edit that an operator wants.
+
+    :param base: number of the version that the operator saw.
+    :param tree: the whole tree as the operator wants it.
+    """
+
+    base: int
+    tree: Mapping[str, Any]
+    author: str = ''
+    message: str = ''
+
+
+class TreeRepository:
+    """Read and edit the tree in the object store."""
+
+    def __init__(self, store: Store, stamp: Callable[[], str]) -> None:
+        """Keep the store.
+
+        :param stamp: gives the wall-clock time for the history.
+        """
+        self._store = store
+        self._stamp = stamp
+        self._parts: dict[str, bytes] = {}
+
+    async def read(self) -> TreeVersion | None:
+        """Return the version that the head names, or none.
+
+        :raises StoreError: where the store does not answer.
+        """
+        return await self.load(await self._store.read(HEAD))
+
+    async def watch(self, seen: int, wait_s: float) -> Stored | None:
+        """Return the head object once it is newer than one seen."""
+        return await self._store.watch(HEAD, seen, wait_s)
+
+    async def load(self, stored: Stored | None) -> TreeVersion | None:
+        """Return the version that a head object names."""
+        if stored is None:
+            return None
+        head = _load_head(stored.body)
+        return make_version(head.number, await self._assemble(head.manifest))
+
+    async def history(self) -> tuple[Edit, ...]:
+        """Return the latest edits, the newest last."""
+        stored = await self._store.read(HEAD)
+        return _load_head(stored.body).history if stored else ()
+
+    async def tree_at(self, number: int) -> dict[str, Any]:
+        """Return the tree of an earlier version.
+
+        :raises TreeError: where the history does not hold it.
+        """
+        for edit in await self.history():
+            if edit.number == number:
+                return await self._assemble(edit.manifest)
+        raise TreeError(Code.unknown_version, f'no version {number}')
+
+    async def propose(self, proposal: Proposal) -> TreeVersion:
+        """Accept an edit, rebased on what others accepted meanwhile.
+
+        :raises TreeError: where the tree has faults or the edit conflicts.
+        :raises StoreUnconfirmedError: where the outcome is not known.
+        :raises StoreError: where the store does not answer; not accepted.
+        """
+        nonce = secrets.token_hex(8)
+        unsure = False
+        for _ in range(TRIES):
+            try:
+                version = await self._try_propose(proposal, nonce)
+            except StoreConflictError:
+                continue
+            except StoreUnconfirmedError:
+                # Read back: the head tells by the nonce whether it was ours.
+                unsure = True
+                continue
+            except StoreError as error:
+                if unsure:
+                    raise StoreUnconfirmedError(
+                        Code.edit_unconfirmed,
+                    ) from error
+                raise
+            return version
+        raise StoreUnconfirmedError(Code.edit_unconfirmed)
+
+    async def _try_propose(
+        self,
+        proposal: Proposal,
+        nonce: str,
+    ) -> TreeVersion:
+        stored = await self._store.read(HEAD)
+        head = _load_head(stored.body) if stored else _EMPTY
+        found = _find_edit(head, nonce)
+        if found is not None:
+            tree = await self._assemble(found.manifest)
+            return make_version(found.number, tree)
+        tree = await self._rebased(proposal, head)
+        version = make_version(head.number + 1, tree)
+        manifest = await self._write_parts(tree, head.manifest)
+        edit = Edit(
+            version.number,
+            proposal.author,
+            proposal.message,
+            nonce,
+            self._stamp(),
+            manifest,
+        )
+        history = (*head.history, edit)[-HISTORY_KEPT:]
+        body = _dump_head(Head(edit.number, manifest, history))
+        if stored is None:
+            await self._store.create(HEAD, body)
+        else:
+            await self._store.replace(HEAD, body, stored.version)
+        return version
+
+    async def _rebased(self, proposal: Proposal, head: Head) -> dict[str, Any]:
+        if proposal.base == head.number:
+            return dict(proposal.tree)
+        theirs = await self._assemble(head.manifest)
+        base = await self.tree_at(proposal.base) if proposal.base else {}
+        return rebase(base, proposal.tree, theirs)
+
+    async def _write_parts(
+        self,
+        tree: Mapping[str, Any],
+        known: str,
+    ) -> str:
+        """Write the parts that the known manifest lacks; return the new one."""
+        manifest = await self._manifest(known) if known else {}
+        present = set(manifest.values())
+        names = {}
+        for name, part in _split(tree).items():
+            body = orjson.dumps(part, option=orjson.OPT_SORT_KEYS)
+            names[name] = _digest(body)
+            if names[name] not in present:
+                await self._write_part(names[name], body)
+        body = orjson.dumps(names, option=orjson.OPT_SORT_KEYS)
+        await self._write_part(_digest(body), body)
+        return _digest(body)
+
+    async def _write_part(self, digest: str, body: bytes) -> None:
+        if digest in self._parts:
+            return
+        with suppress(StoreConflictError):
+            await self._store.create(PART + digest, body)
+        self._parts[digest] = body
+
+    async def _manifest(self, digest: str) -> dict[str, str]:
+        return orjson.loads(await self._part(digest))
+
+    async def _assemble(self, digest: str) -> dict[str, Any]:
+        manifest = await self._manifest(digest)
+        tree: dict[str, Any] = orjson.loads(await self._part(manifest[ROOT]))
+        tree['workspaces'] = {
+            name: orjson.loads(await self._part(part))
+            for name, part in manifest.items()
+            if name != ROOT
+        }
+        self._forget_parts({digest, *manifest.values()})
+        return tree
+
+    async def _part(self, digest: str) -> bytes:
+        body = self._parts.get(digest)
+        if body is None:
+            stored = await self._store.read(PART + digest)
+            if stored is None:
+                raise StoreError(Code.store_down, f'no part {digest}')
+            body = stored.body
+            self._parts[digest] = body
+        return body
+
+    def _forget_parts(self, wanted: set[str]) -> None:
+        """Keep no more parts in memory than a version or two has."""
+        if len(self._parts) > 2 * len(wanted) + 8:
+            self._parts = {
+                digest: body
+                for digest, body in self._parts.items()
+                if digest in wanted
+            }
+
+
+def make_version(number: int, tree: Mapping[str, Any]) -> TreeVersion:
+    """Return a checked version of a tree given as plain mappings.
+
+    :raises TreeError: where the tree has faults.
+    """
+    text = yaml.dump(dict(tree), Dumper=yaml.CSafeDumper, sort_keys=True)
+    parsed = parse_tree(text)
+    return TreeVersion(number, parsed, KeyTable(parsed), text)
+
+
+def load_version(number: int, text: str) -> TreeVersion:
+    """Return a version as a peer passed it on."""
+    parsed = parse_tree(text)
+    return TreeVersion(number, parsed, KeyTable(parsed), text)
+
+
+def _split(tree: Mapping[str, Any]) -> dict[str, Any]:
+    root = {name: part for name, part in tree.items() if name != 'workspaces'}
+    return {ROOT: root, **(tree.get('workspaces') or {})}
+
+
+def _digest(body: bytes) -> str:
+    return hashlib.blake2b(body, digest_size=16).hexdigest()
+
+
+def _find_edit(head: Head, nonce: str) -> Edit | None:
+    for edit in head.history:
+        if edit.nonce == nonce:
+            return edit
+    return None
+
+
+def _dump_head(head: Head) -> bytes:
+    return orjson.dumps(asdict(head))
+
+
+def _load_head(body: bytes) -> Head:
+    fields = orjson.loads(body)
+    history = tuple(Edit(**edit) for edit in fields['history'])
+    return Head(fields['number'], fields['manifest'], history)
+
+
+_EMPTY = Head(0, '', ())
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,339 @@
+"""Stand in for a model engine with continuous batching.
+
+One step yields one token for each running sequence; its time grows with the
+batch and with the prompts that are read in. ``metadata.tokens`` in a request
+sets the length of the answer, which the router cannot see; ``metadata.seed``
+makes each token checkable: token *i* reads ``<seed>-<i>``.
+"""
+
+import asyncio
+import heapq
+import itertools
+import os
+import random
+import time
+from collections import OrderedDict, deque
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import orjson
+
+from standins.http_server import (
+    Request,
+    Response,
+    json_response,
+    serve,
+)
+
+DONE = b'data: [DONE]\n\n'
+EVENTS_KEPT = 200
+
+
+@dataclass(frozen=True, slots=True)
+class EngineOptions:
+    """Set how an engine behaves.
+
+    :param step_ms: time of a step with one sequence.
+    :param sequence_ms: time that each further sequence adds to a step.
+    :param prefill_ms: time to read in one thousand characters of prompt.
+    :param batch: sequences that run at once.
+    :param cache: prompt prefixes that the cache holds.
+    :param lag_s: age of the load reports.
+    :param checks_fence: whether orders with an old number are refused.
+    """
+
+    name: str
+    models: tuple[str, ...] = ('m1',)
+    step_ms: float = 10
+    sequence_ms: float = 0.6
+    prefill_ms: float = 12
+    batch: int = 32
+    cache: int = 64
+    lag_s: float = 3
+    checks_fence: bool = True
+    load_s: float = 0.5
+
+
+@dataclass(slots=True)
+class Sequence:
+    """Hold one running request of the engine."""
+
+    request_id: str
+    seed: str
+    length: int
+    chat: bool
+    resumed: int
+    prompt: str
+    model: str
+    sent: int = 0
+    prefilled: bool = False
+    cancelled: bool = False
+    tokens: asyncio.Queue = field(default_factory=asyncio.Queue)
+
+
+class Engine:
+    """Run sequences in one batch loop."""
+
+    def __init__(self, options: EngineOptions) -> None:
+        """Start idle with all models loaded."""
+        self.options = options
+        self.slow = 1.0
+        self.leaving = False
+        self.models = set(options.models)
+        self.fence = 0
+        self.orders: list[dict] = []
+        self.log: dict[str, list[dict]] = {}
+        self._waiting: list[tuple] = []
+        self._running: list[Sequence] = []
+        self._order = itertools.count()
+        self._wake = asyncio.Event()
+        self._cache: OrderedDict[str, None] = OrderedDict()
+        self._events: deque[dict] = deque(maxlen=EVENTS_KEPT)
+        self._event_number = itertools.count(1)
+        self._reports: deque[tuple[float, dict]] = deque()
+        self._random = random.Random(options.name)
+        self._step_s = 0.0
+
+    async def run(self) -> None:
+        """Run steps for ever."""
+        due = time.monotonic()
+        while True:
+            self._admit()
+            self._note_load()
+            if not self._running:
+                self._wake.clear()
+                await self._wake.wait()
+                due = time.monotonic()
+                continue
+            self._step_s = self._step_time_s()
+            due = max(due + self._step_s, time.monotonic())
+            await asyncio.sleep(due - time.monotonic())
+            self._emit()
+
+    def submit(self, sequence: Sequence, priority: int) -> None:
+        """Queue a sequence."""
+        entry = (priority, next(self._order), sequence)
+        heapq.heappush(self._waiting, entry)
+        self._wake.set()
+
+    def report(self) -> dict:
+        """Return the load as it was some seconds ago."""
+        bound = time.monotonic() - self.options.lag_s
+        old = {}
+        while self._reports and self._reports[0][0] <= bound:
+            old = self._reports.popleft()[1]
+        if old:
+            self._reports.appendleft((bound, old))
+        return {
+            **old,
+            'age_ms': int(self.options.lag_s * 1000),
+            'leaving': self.leaving,
+            'models': sorted(self.models),
+        }
+
+    def events_after(self, number: int) -> list[dict]:
+        """Return late cache events, one in ten left out."""
+        return [event for event in self._events if event['number'] > number]
+
+    async def order(self, order: dict) -> Response:
+        """Take an order that states a target; the same order is harmless."""
+        fence = int(order.get('fence', 0))
+        if self.options.checks_fence and fence < self.fence:
+            return json_response({'error': 'old fence'}, 409)
+        self.fence = max(self.fence, fence)
+        self.orders.append({**order, 'models': order.get('models')})
+        models = set(order.get('models', self.models))
+        if models - self.models:
+            await asyncio.sleep(self.options.load_s)
+        self.models = models
+        return json_response({'models': sorted(self.models)})
+
+    def _admit(self) -> None:
+        while self._waiting and len(self._running) < self.options.batch:
+            sequence = heapq.heappop(self._waiting)[-1]
+            if not sequence.cancelled:
+                self._running.append(sequence)
+
+    def _step_time_s(self) -> float:
+        options = self.options
+        step_ms = options.step_ms + options.sequence_ms * len(self._running)
+        for sequence in self._running:
+            if not sequence.prefilled:
+                sequence.prefilled = True
+                step_ms += self._prefill_ms(sequence)
+        return step_ms * self.slow / 1000
+
+    def _prefill_ms(self, sequence: Sequence) -> float:
+        length = len(sequence.prompt) + 8 * sequence.resumed
+        prefix = sequence.prompt[:256]
+        if prefix in self._cache:
+            self._cache.move_to_end(prefix)
+            length = min(length, 256)
+        self._remember(prefix)
+        return length * self.options.prefill_ms / 1000
+
+    def _remember(self, prefix: str) -> None:
+        self._cache[prefix] = None
+        self._note_event('stored', prefix)
+        if len(self._cache) > self.options.cache:
+            gone, _ = self._cache.popitem(last=False)
+            self._note_event('removed', gone)
+
+    def _note_event(self, kind: str, prefix: str) -> None:
+        number = next(self._event_number)
+        if self._random.random() < 0.9:
+            self._events.append(
+                {'number': number, 'kind': kind, 'prefix': prefix},
+            )
+
+    def _emit(self) -> None:
+        for sequence in self._running:
+            if sequence.cancelled:
+                continue
+            sequence.tokens.put_nowait(sequence.resumed + sequence.sent)
+            sequence.sent += 1
+        self._running = [
+            sequence
+            for sequence in self._running
+            if not sequence.cancelled
+            and sequence.resumed + sequence.sent < sequence.length
+        ]
+
+    def _note_load(self) -> None:
+        now_s = time.monotonic()
+        if self._reports and now_s - self._reports[-1][0] < 0.2:
+            return
+        report = {
+            'running': len(self._running),
+            'waiting': len(self._waiting),
+            'token_ms': round(self._step_s * 1000, 2),
+        }
+        self._reports.append((now_s, report))
+
+
+class EngineApi:
+    """Answer HTTP requests for one engine."""
+
+    def __init__(self, engine: Engine) -> None:
+        """Keep the engine."""
+        self._engine = engine
+
+    async def __call__(self, request: Request) -> Response:
+        """Answer one request."""
+        path = request.path
+        if path in {'/v1/completions', '/v1/chat/completions'}:
+            return self._complete(request)
+        if path == '/orders':
+            return await self._engine.order(request.json())
+        if path.startswith('/admin/'):
+            return self._admin(path, request)
+        return self._read(path, request)
+
+    def _read(self, path: str, request: Request) -> Response:
+        if path == '/load':
+            return json_response(self._engine.report())
+        if path == '/events':
+            after = int(request.query.get('after', 0))
+            return json_response(self._engine.events_after(after))
+        if path == '/log':
+            return json_response(self._engine.log)
+        return json_response({'error': 'no such path'}, 404)
+
+    def _admin(self, path: str, request: Request) -> Response:
+        if path == '/admin/crash':
+            os._exit(9)
+        if path == '/admin/orders':
+            return json_response(self._engine.orders)
+        order = request.json()
+        self._engine.slow = float(order.get('slow', self._engine.slow))
+        self._engine.leaving = bool(order.get('leaving', self._engine.leaving))
+        return json_response({'slow': self._engine.slow})
+
+    def _complete(self, request: Request) -> Response:
+        if self._engine.leaving:
+            return json_response({'error': 'leaving'}, 503)
+        asked = request.json()
+        if asked.get('model') not in self._engine.models:
+            return json_response({'error': 'model not loaded'}, 404)
+        chat = request.path.endswith('chat/completions')
+        sequence = _sequence(asked, chat=chat)
+        self._engine.submit(sequence, int(asked.get('priority', 0)))
+        runs = self._engine.log.setdefault(sequence.request_id, [])
+        run = {'from': sequence.resumed, 'sent': 0, 'end': 'open'}
+        run['at'] = time.time()
+        runs.append(run)
+        return Response(
+            headers={
+                'Content-Type': 'text/event-stream',
+                'X-Request-Id': sequence.request_id,
+            },
+            stream=_stream(sequence, run),
+        )
+
+
+def _sequence(asked: dict, *, chat: bool) -> Sequence:
+    metadata = asked.get('metadata') or {}
+    prompt = asked.get('prompt') or orjson.dumps(
+        asked.get('messages', []),
+    ).decode()
+    length = int(metadata.get('tokens', asked.get('max_tokens') or 16))
+    return Sequence(
+        request_id=str(asked.get('request_id', '')),
+        seed=str(metadata.get('seed', 'token')),
+        length=min(length, int(asked.get('max_tokens') or length)),
+        chat=chat,
+        resumed=int(asked.get('resume_from', 0)),
+        prompt=str(prompt),
+        model=asked['model'],
+    )
+
+
+async def _stream(sequence: Sequence, run: dict) -> AsyncIterator[bytes]:
+    try:
+        async for chunk in _tokens(sequence, run):
+            yield chunk
+    finally:
+        sequence.cancelled = True
+        if run['end'] == 'open':
+            run['end'] = 'cancelled'
+
+
+async def _tokens(sequence: Sequence, run: dict) -> AsyncIterator[bytes]:
+    index = sequence.resumed
+    while index < sequence.length:
+        index = await sequence.tokens.get()
+        run['sent'] += 1
+        yield _event(sequence, index)
+        index += 1
+    run['end'] = 'whole'
+    yield DONE
+
+
+def _event(sequence: Sequence, index: int) -> bytes:
+    text = f'{sequence.seed}-{index} '
+    last = index + 1 >= sequence.length
+    choice: dict = {'index': 0, 'finish_reason': 'stop' if last else None}
+    if sequence.chat:
+        choice['delta'] = {'role': 'assistant', 'content': text}
+        kind = 'chat.completion.chunk'
+    else:
+        choice['text'] = text
+        kind = 'text_completion'
+    document = {
+        'id': sequence.request_id,
+        'object': kind,
+        'created': 0,
+        'model': sequence.model,
+        'choices': [choice],
+    }
+    return b'data: %b\n\n' % orjson.dumps(document)
+
+
+async def run_engine(options: EngineOptions, host: str, port: int) -> None:
+    """Serve one engine until cancelled."""
+    engine = Engine(options)
+    server = await serve(EngineApi(engine), host, port)
+    async with server:
+        await engine.run()
+
+
--- /dev/null
+++ b/standins/fault_proxy.py
@@ -0,0 +1,221 @@
+"""Forward TCP and UDP to one target and inject faults on order.
+
+Faults are set for a pair of source address and target, so that a proxy can
+cut an instance off from some of its peers only.
+"""
+
+import asyncio
+from contextlib import suppress
+from dataclasses import dataclass, replace
+from typing import Any
+
+from standins.http_server import Request, Response, json_response, serve
+
+READ_BYTES = 65536
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Describe what happens to traffic.
+
+    :param delay_s: time that each piece is held back.
+    :param refuse: whether new connections are reset.
+    :param drop_out: whether bytes to the target vanish.
+    :param drop_back: whether bytes from the target vanish.
+    """
+
+    delay_s: float = 0.0
+    refuse: bool = False
+    drop_out: bool = False
+    drop_back: bool = False
+
+
+class FaultProxy:
+    """Forward the traffic of one target."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        """Start without faults."""
+        self._target = target
+        self._faults: dict[str, Fault] = {}
+        self._pairs: set[_Pair] = set()
+
+    def fault(self, source: str) -> Fault:
+        """Return the fault in force for a source address."""
+        return self._faults.get(source) or self._faults.get('', Fault())
+
+    def set_fault(self, fault: Fault, source: str = '') -> None:
+        """Put a fault in force; an empty source stands for all."""
+        self._faults[source] = fault
+
+    def clear(self) -> None:
+        """Heal everything but the connections already silenced."""
+        self._faults.clear()
+
+    def cut(self) -> int:
+        """Reset all open connections and return how many there were."""
+        pairs = tuple(self._pairs)
+        for pair in pairs:
+            pair.abort()
+        return len(pairs)
+
+    def silence(self) -> int:
+        """Let all open connections go silent for good; new ones work."""
+        for pair in self._pairs:
+            pair.silent = True
+        return len(self._pairs)
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen for TCP and UDP on one address."""
+        self._server = await asyncio.start_server(
+            self._accept,
+            host,
+            port,
+            backlog=1024,
+        )
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: _Datagrams(self),
+            local_addr=(host, port),
+        )
+
+    @property
+    def target(self) -> tuple[str, int]:
+        """Return the address that traffic is forwarded to."""
+        return self._target
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        source = writer.get_extra_info('peername')[0]
+        if self.fault(source).refuse:
+            writer.transport.abort()
+            return
+        try:
+            onward = await asyncio.open_connection(
+                *self._target,
+                local_addr=(source, 0),
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = _Pair(self, source, (reader, writer), onward)
+        self._pairs.add(pair)
+        try:
+            await pair.run()
+        finally:
+            self._pairs.discard(pair)
+
+
+class _Pair:
+    """Own the two connections of one forwarded connection."""
+
+    def __init__(self, proxy: FaultProxy, source: str, near, far) -> None:
+        self._proxy = proxy
+        self._source = source
+        self._near = near
+        self._far = far
+        self.silent = False
+
+    async def run(self) -> None:
+        """Forward both ways until both ends are done."""
+        near_reader, near_writer = self._near
+        far_reader, far_writer = self._far
+        await asyncio.gather(
+            self._copy(near_reader, far_writer, 'drop_out'),
+            self._copy(far_reader, near_writer, 'drop_back'),
+        )
+
+    def abort(self) -> None:
+        """Reset both connections."""
+        self._near[1].transport.abort()
+        self._far[1].transport.abort()
+
+    async def _copy(self, reader, writer, drop: str) -> None:
+        with suppress(OSError):
+            while piece := await reader.read(READ_BYTES):
+                fault = self._proxy.fault(self._source)
+                if fault.delay_s:
+                    await asyncio.sleep(fault.delay_s)
+                if self.silent or getattr(fault, drop):
+                    continue
+                writer.write(piece)
+                await writer.drain()
+            if not self.silent:
+                writer.close()
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    """Forward datagrams; the answers come from the target by themselves."""
+
+    def __init__(self, proxy: FaultProxy) -> None:
+        self._proxy = proxy
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        fault = self._proxy.fault(addr[0])
+        if fault.refuse or fault.drop_out:
+            return
+        if fault.delay_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(fault.delay_s, self._send, data)
+        else:
+            self._send(data)
+
+    def _send(self, datagram: bytes) -> None:
+        self._transport.sendto(datagram, self._proxy.target)
+
+
+class ProxyApi:
+    """Take orders for several proxies over HTTP."""
+
+    def __init__(self, proxies: dict[str, FaultProxy]) -> None:
+        """Keep the proxies by name."""
+        self._proxies = proxies
+
+    async def __call__(self, request: Request) -> Response:
+        """Carry out one order for one proxy, or for all of them."""
+        order = request.json()
+        name = order.pop('name', '')
+        kind = order.pop('kind')
+        chosen = (
+            [self._proxies[name]] if name else list(self._proxies.values())
+        )
+        touched = [_carry_out(proxy, kind, order) for proxy in chosen]
+        return json_response({'touched': sum(touched)})
+
+
+def _carry_out(proxy: FaultProxy, kind: str, order: dict) -> int:
+    if kind == 'cut':
+        return proxy.cut()
+    if kind == 'silence':
+        return proxy.silence()
+    if kind == 'clear':
+        proxy.clear()
+        return 0
+    source = order.pop('source', '')
+    proxy.set_fault(replace(proxy.fault(source), **order), source)
+    return 1
+
+
+async def run_proxies(
+    routes: dict[str, tuple[str, str]],
+    host: str,
+    port: int,
+) -> None:
+    """Serve proxies by name, each from one address to another."""
+    proxies = {}
+    for name, (listen, target) in routes.items():
+        proxies[name] = FaultProxy(_address(target))
+        await proxies[name].start(*_address(listen))
+    server = await serve(ProxyApi(proxies), host, port)
+    async with server:
+        await server.serve_forever()
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, port = text.rsplit(':', 1)
+    return host, int(port)
