--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,225 @@
+"""Stand in for the platform: object store, instance list, weight store.
+
+The object store keeps versioned values up to a megabyte, with conditional
+updates and watches; it counts each call, limits the rates, and on order is
+down, slow, or loses the confirmation of a write that took effect.
+"""
+
+import asyncio
+import time
+from collections import Counter, deque
+from dataclasses import dataclass
+
+from standins.http_server import (
+    HangUpError,
+    Request,
+    Response,
+    json_response,
+    serve,
+)
+
+VALUE_BYTES_MOST = 1_000_000
+WATCH_S_MOST = 30
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformOptions:
+    """Set the limits of the platform.
+
+    :param writes_per_s: writes that the store takes.
+    :param reads_per_s: reads that the store takes.
+    :param list_lag_s: age of what the instance list tells.
+    :param weight_loads_per_s: loads that the weight store takes.
+    """
+
+    writes_per_s: float = 500
+    reads_per_s: float = 2000
+    list_lag_s: float = 1
+    weight_loads_per_s: float = 2
+
+
+class Rate:
+    """Allow a number of calls a second."""
+
+    def __init__(self, per_s: float) -> None:
+        """Start with a full second's allowance."""
+        self._per_s = per_s
+        self._left = per_s
+        self._at = time.monotonic()
+
+    def allows(self) -> bool:
+        """Take one call from the allowance."""
+        now_s = time.monotonic()
+        grown = self._left + (now_s - self._at) * self._per_s
+        self._left = min(max(1, self._per_s), grown)
+        self._at = now_s
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+
+class ObjectStore:
+    """Keep versioned objects in memory."""
+
+    def __init__(self, options: PlatformOptions) -> None:
+        """Start empty."""
+        self._objects: dict[str, tuple[int, bytes]] = {}
+        self._changed = asyncio.Condition()
+        self._writes = Rate(options.writes_per_s)
+        self._reads = Rate(options.reads_per_s)
+        self._version = 0
+        self.counts: Counter[str] = Counter()
+        self.down = False
+        self.slow_s = 0.0
+        self.lose_confirmations = 0
+
+    async def __call__(self, request: Request) -> Response:
+        """Answer one call."""
+        kind = 'read' if request.method == 'GET' else 'write'
+        self.counts[kind] += 1
+        if self.down:
+            self.counts['refused_down'] += 1
+            raise HangUpError
+        rate = self._reads if kind == 'read' else self._writes
+        if not rate.allows():
+            self.counts['refused_rate'] += 1
+            return json_response({'error': 'too many calls'}, 429)
+        await asyncio.sleep(self.slow_s)
+        key = request.path.removeprefix('/objects/')
+        if kind == 'read':
+            return await self._read(key, request)
+        return await self._write(key, request)
+
+    async def _read(self, key: str, request: Request) -> Response:
+        if 'prefix' in request.query:
+            return self._list(request.query['prefix'])
+        if 'watch' in request.query:
+            self.counts['watch'] += 1
+            await self._wait_newer(key, request.query)
+        if self.down:
+            raise HangUpError
+        if key not in self._objects:
+            return json_response({'error': 'no such object'}, 404)
+        version, body = self._objects[key]
+        return Response(200, body, {'ETag': str(version)})
+
+    def _list(self, prefix: str) -> Response:
+        return json_response(
+            {
+                key: version
+                for key, (version, _) in self._objects.items()
+                if key.startswith(prefix)
+            },
+        )
+
+    async def _wait_newer(self, key: str, query: dict) -> None:
+        known = int(query['watch'])
+        wait_s = min(float(query.get('wait_s', 10)), WATCH_S_MOST)
+        try:
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(
+                    lambda: self._objects.get(key, (0,))[0] > known,
+                )
+        except TimeoutError:
+            return
+
+    async def _write(self, key: str, request: Request) -> Response:
+        if len(request.body) > VALUE_BYTES_MOST:
+            return json_response({'error': 'too large'}, 413)
+        current = self._objects.get(key, (0, b''))[0]
+        if not _matches(request, current):
+            return json_response({'error': 'other version'}, 412)
+        if request.method == 'DELETE':
+            self._objects.pop(key, None)
+        else:
+            self._version += 1
+            self._objects[key] = (self._version, request.body)
+        async with self._changed:
+            self._changed.notify_all()
+        if self.lose_confirmations > 0:
+            self.lose_confirmations -= 1
+            raise HangUpError
+        return Response(204, b'', {'ETag': str(self._version)})
+
+
+def _matches(request: Request, current: int) -> bool:
+    if request.headers.get('if-none-match') == '*':
+        return current == 0
+    wanted = request.headers.get('if-match')
+    return wanted is None or int(wanted) == current
+
+
+class InstanceList:
+    """Tell live and leaving instances as they were some time ago."""
+
+    def __init__(self, options: PlatformOptions) -> None:
+        """Start with an empty list."""
+        self._lag_s = options.list_lag_s
+        self._now: dict[str, dict] = {}
+        self._past: deque[tuple[float, list]] = deque()
+        self._told: list = []
+
+    def tell(self) -> Response:
+        """Answer with the list as it was."""
+        bound = time.monotonic() - self._lag_s
+        while self._past and self._past[0][0] <= bound:
+            self._told = self._past.popleft()[1]
+        return json_response({'instances': self._told})
+
+    def change(self, request: Request) -> Response:
+        """Add, change or remove instances."""
+        for instance in request.json():
+            name = instance['name']
+            if instance.get('state') == 'gone':
+                self._now.pop(name, None)
+            else:
+                self._now[name] = {**self._now.get(name, {}), **instance}
+        snapshot = [dict(instance) for instance in self._now.values()]
+        self._past.append((time.monotonic(), snapshot))
+        return json_response({'instances': len(snapshot)})
+
+
+class Platform:
+    """Answer for all the platform's services on one port."""
+
+    def __init__(self, options: PlatformOptions) -> None:
+        """Start all services empty."""
+        self._store = ObjectStore(options)
+        self._list = InstanceList(options)
+        self._weights = Rate(options.weight_loads_per_s)
+
+    async def __call__(self, request: Request) -> Response:
+        """Answer one request."""
+        path = request.path
+        if path.startswith('/objects'):
+            return await self._store(request)
+        if path == '/instances':
+            return self._list.tell()
+        if path.startswith('/weights/'):
+            allowed = self._weights.allows()
+            return json_response({'allowed': allowed}, 200 if allowed else 429)
+        return self._admin(path, request)
+
+    def _admin(self, path: str, request: Request) -> Response:
+        if path == '/admin/instances':
+            return self._list.change(request)
+        if path == '/admin/counts':
+            return json_response(self._store.counts)
+        if path != '/admin/store':
+            return json_response({'error': 'no such path'}, 404)
+        order = request.json()
+        store = self._store
+        store.down = bool(order.get('down', store.down))
+        store.slow_s = float(order.get('slow_s', store.slow_s))
+        store.lose_confirmations = int(
+            order.get('lose_confirmations', store.lose_confirmations),
+        )
+        return json_response({'down': store.down})
+
+
+async def run_platform(options: PlatformOptions, host: str, port: int) -> None:
+    """Serve the platform until cancelled."""
+    server = await serve(Platform(options), host, port)
+    async with server:
+        await server.serve_forever()
