Send the request head before reading from a broker session

Cause: the client read from the stream before its head was sent, so that the session task died unseen and every ticket for a remote broker waited for ever. Ruled out: the proxy-free path, the listing, the desk. Change: send the head first; a request task that fails is logged and its caller is cut off rather than left waiting.

--- a/src/siskinpass/process/node.py
+++ b/src/siskinpass/process/node.py
@@ -351,8 +351,11 @@
         while True:
             try:
                 listing = await asyncio.to_thread(read_listing, http, base_url)
-            except StoreError:
-                self._log.warn('The instance list does not answer.')
+            except StoreError as error:
+                self._log.warn(
+                    'The instance list does not answer.',
+                    why=str(error),
+                )
             else:
                 self._take_listing(listing)
             await asyncio.sleep(LIST_EVERY_S)
--- a/src/siskinpass/process/peers.py
+++ b/src/siskinpass/process/peers.py
@@ -14,7 +14,11 @@
 
 from grpclib.client import Channel
 from grpclib.const import Status
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+)
 from grpclib.server import Server, Stream
 
 from siskinpass.process import peer_pb2 as pb
@@ -37,6 +41,7 @@
 
 STREAM_ERRORS = (
     GRPCError,
+    ProtocolError,
     StreamTerminatedError,
     OSError,
     TimeoutError,
@@ -192,9 +197,9 @@
         self._task.cancel()
 
     async def _run(self) -> None:
-        metadata = (('x-siskinpass-entry', self._own),)
         with suppress(*STREAM_ERRORS):
-            async with self._stub.Tickets.open(metadata=metadata) as stream:
+            async with self._stub.Tickets.open() as stream:
+                await stream.send_request()
                 sender = asyncio.ensure_future(self._send(stream))
                 try:
                     await self._receive(stream)
--- a/src/siskinpass/process/relay.py
+++ b/src/siskinpass/process/relay.py
@@ -78,8 +78,8 @@
     def serve(self, caller: CallerConnection, head: RequestHead) -> None:
         """Start to answer a request."""
         task = self._loop.create_task(self._serve(caller, head))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._keep_task(task)
+        task.add_done_callback(lambda done: self._check_end(done, caller))
 
     async def drain(self) -> None:
         """Wait until every request is answered."""
@@ -190,10 +190,22 @@
             run.result.status,
             run.result.body,
         )
-        task = self._loop.create_task(settling)
+        self._keep_task(self._loop.create_task(settling))
+
+    def _keep_task(self, task: asyncio.Task[None]) -> None:
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _check_end(
+        self,
+        done: asyncio.Task[None],
+        caller: CallerConnection,
+    ) -> None:
+        """Cut a caller off rather than leave it without an end."""
+        if not done.cancelled() and done.exception() is not None:
+            self._log.warn('A request failed.', why=repr(done.exception()))
+            caller.abort()
+
     def _end_with_error(
         self,
         caller: CallerConnection,
