Add seeded scenarios, an experiment runner and baseline policies

Cause: the decisions could not be measured. Change: traces by seed, faults at times, four policies over the same trace, an offline bound, a report per class with waste and alarms.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,9 +1,11 @@
 """Run the demo or an experiment: ``python -m bench COMMAND``."""
 
 import sys
+from pathlib import Path
 
 from cyclopts import App
 
+from bench import experiment
 from bench.demo import demo
 
 app = App(name='bench', help='Drive real processes and measure them.')
@@ -15,4 +17,19 @@
     sys.exit(1 if demo() else 0)
 
 
+@app.command(name='run')
+def run_command(
+    *,
+    scenario: str = 'swing',
+    policy: str = 'ours',
+    seed: int = 1,
+    instances: int = 8,
+    trace: Path | None = None,
+    source: str = '',
+) -> None:
+    """Run one scenario under one policy."""
+    report = experiment.run(scenario, policy, seed, instances, trace, source)
+    experiment.show(report)
+
+
 app()
--- /dev/null
+++ b/bench/bound.py
@@ -0,0 +1,44 @@
+"""Bound what any policy could reach, from lengths known beforehand.
+
+One scheduler sees all requests; each engine has a number of slots whose
+tokens take the time of a full batch. An upper tier takes a lower tier's slot
+at once and without cost. A request meets its target when its first token is
+in time.
+"""
+
+import heapq
+from collections import defaultdict
+from collections.abc import Sequence
+
+from bench.cluster import Plan
+from bench.load import Job
+from bench.summary import promises
+
+STEP_MS = 10.0
+SEQUENCE_MS = 0.6
+SLOTS = 24
+
+
+def bound_attainment(jobs: Sequence[Job], plan: Plan) -> dict[str, float]:
+    """Return the attainment that cannot be passed, by class."""
+    known = promises(plan.tree)
+    token_s = (STEP_MS + SEQUENCE_MS * SLOTS) / 1000
+    slots = SLOTS * len(plan.engines)
+    met: dict[str, list[bool]] = defaultdict(list)
+    by_tier: dict[int, list[Job]] = defaultdict(list)
+    for job in jobs:
+        if job.kind == 'engine':
+            by_tier[known[job.leaf].tier].append(job)
+    ahead: list[Job] = []
+    for tier in sorted(by_tier):
+        # With free preemption a tier sees only itself and those above.
+        ahead = sorted((*ahead, *by_tier[tier]), key=lambda job: job.at_s)
+        free = [0.0] * slots
+        for job in ahead:
+            start_s = max(job.at_s, heapq.heappop(free))
+            heapq.heappush(free, start_s + job.tokens * token_s)
+            promise = known[job.leaf]
+            if promise.tier == tier:
+                first_ms = (start_s - job.at_s) * 1000 + STEP_MS
+                met[job.leaf].append(first_ms <= promise.first_token_ms)
+    return {leaf: sum(oks) / len(oks) for leaf, oks in met.items()}
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,222 @@
+"""Make the seeded traces of the experiments."""
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from bench.demo import number_jobs
+from bench.load import Job
+
+SECONDS = 24.0
+TOP_TOKENS = 20
+QUOTE_TOKENS = 100
+DRAFT_TOKENS = 300
+WORKSPACES = (
+    'recife', 'fortaleza', 'salvador', 'natal', 'maceio',
+    'aracaju', 'olinda', 'caruaru', 'mossoro', 'sobral',
+)  # fmt: skip
+PROMPT_LENGTHS = (120, 400, 1600)
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """Describe a fault of a scenario.
+
+    :param order: order to a back end, or ``kill`` with the name of a process.
+    """
+
+    at_s: float
+    target: str
+    order: dict[str, Any] = field(default_factory=dict)
+    kill: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Hold a trace, its faults and its labelled breaches.
+
+    :param breaches: class names whose promise cannot be kept.
+    """
+
+    name: str
+    jobs: Sequence[Job]
+    events: Sequence[Event] = ()
+    breaches: frozenset[str] = frozenset()
+
+
+class _Trace:
+    """Collect the jobs of one trace."""
+
+    def __init__(self, seed: int) -> None:
+        self.chance = random.Random(seed)
+        self.jobs: list[Job] = []
+
+    def add(
+        self,
+        leaf: str,
+        per_s: Callable[[float], float],
+        tokens: int,
+        kind: str = 'engine',
+    ) -> None:
+        """Add a class whose rate changes over time."""
+        most = max(per_s(at / 4) for at in range(int(SECONDS * 4)))
+        if most <= 0:
+            return
+        at_s = self.chance.expovariate(most)
+        while at_s < SECONDS:
+            if self.chance.random() < per_s(at_s) / most:
+                self.jobs.append(self._job(at_s, leaf, kind, tokens))
+            at_s += self.chance.expovariate(most)
+
+    def _job(self, at_s: float, leaf: str, kind: str, tokens: int) -> Job:
+        length = max(1, int(self.chance.gauss(tokens, tokens / 4)))
+        return Job(
+            at_s,
+            self.chance.choice(WORKSPACES),
+            leaf,
+            kind,
+            length,
+            self._prompt(),
+        )
+
+    def _prompt(self) -> str:
+        start = f'manual {self.chance.randrange(40)} '
+        length = self.chance.choice(PROMPT_LENGTHS)
+        return (start * (length // len(start) + 1))[:length]
+
+
+def flat(per_s: float) -> Callable[[float], float]:
+    """Return a rate that never changes."""
+    return lambda at_s: per_s
+
+
+def swing(low: float, high: float) -> Callable[[float], float]:
+    """Return a rate that rises within five seconds, stays and falls."""
+
+    def rate(at_s: float) -> float:
+        if at_s < 6 or at_s > 20:
+            return low
+        if at_s < 11:
+            return low + (high - low) * (at_s - 6) / 5
+        return high
+
+    return rate
+
+
+def pulse(low: float, high: float, start: float, end: float):
+    """Return a rate that is high between two times."""
+    return lambda at_s: high if start <= at_s < end else low
+
+
+def build(name: str, seed: int) -> Scenario:
+    """Return a scenario by its name."""
+    return _BUILDERS[name](_Trace(seed))
+
+
+def names() -> list[str]:
+    """Return the names of all scenarios."""
+    return sorted(_BUILDERS)
+
+
+def _finish(name: str, trace: _Trace, **more: Any) -> Scenario:
+    return Scenario(name, number_jobs(trace.jobs), **more)
+
+
+def _mix(trace: _Trace, top, drafts: float) -> None:
+    trace.add('technician', top, TOP_TOKENS)
+    trace.add('parts', flat(3), 0, 'service')
+    trace.add('quotation', flat(3), QUOTE_TOKENS)
+    trace.add('report', flat(drafts), DRAFT_TOKENS)
+
+
+def _quiet(trace: _Trace) -> Scenario:
+    _mix(trace, flat(15), 0)
+    return _finish('quiet', trace)
+
+
+def _drafts(trace: _Trace) -> Scenario:
+    _mix(trace, flat(15), 24)
+    return _finish('drafts', trace)
+
+
+def _swing(trace: _Trace) -> Scenario:
+    _mix(trace, swing(20, 60), 20)
+    return _finish('swing', trace)
+
+
+def _crest(trace: _Trace) -> Scenario:
+    trace.add('technician', pulse(10, 220, 10, 14), TOP_TOKENS)
+    trace.add('parts', pulse(3, 20, 10, 14), 0, 'service')
+    trace.add('quotation', pulse(3, 12, 10, 14), QUOTE_TOKENS)
+    trace.add('report', pulse(6, 20, 10, 14), DRAFT_TOKENS)
+    return _finish('crest', trace)
+
+
+def _slowed(trace: _Trace) -> Scenario:
+    _mix(trace, flat(25), 8)
+    events = []
+    for turn, start in enumerate((4, 10, 16)):
+        for offset in (0, 1):
+            name = f'engine-{(2 * turn + offset) % 6 + 1}'
+            events.extend((
+                Event(start, name, {'slow': 5}),
+                Event(start + 5, name, {'slow': 1}),
+            ))
+    return _finish('slowed', trace, events=events)
+
+
+def _stragglers(trace: _Trace) -> Scenario:
+    _mix(trace, flat(20), 6)
+    jobs = [
+        Job(
+            job.at_s,
+            job.workspace,
+            job.leaf,
+            job.kind,
+            job.tokens * 20,
+            job.prompt,
+        )
+        if job.leaf == 'quotation' and trace.chance.random() < 0.3
+        else job
+        for job in trace.jobs
+    ]
+    trace.jobs = jobs
+    return _finish('stragglers', trace)
+
+
+def _one_class(trace: _Trace) -> Scenario:
+    _mix(trace, flat(20), 6)
+    trace.add('quotation', pulse(0, 60, 6, 12), QUOTE_TOKENS)
+    return _finish('one-class', trace)
+
+
+def _crash(trace: _Trace) -> Scenario:
+    _mix(trace, flat(20), 8)
+    events = (
+        Event(8, 'engine-2', kill=True),
+        Event(14, 'entry-2', kill=True),
+    )
+    return _finish('crash', trace, events=events)
+
+
+def _long_rush(trace: _Trace) -> Scenario:
+    _mix(trace, flat(320), 4)
+    return _finish(
+        'long-rush',
+        trace,
+        breaches=frozenset(('technician', 'quotation', 'report')),
+    )
+
+
+_BUILDERS = {
+    'quiet': _quiet,
+    'drafts': _drafts,
+    'swing': _swing,
+    'crest': _crest,
+    'slowed': _slowed,
+    'stragglers': _stragglers,
+    'one-class': _one_class,
+    'crash': _crash,
+    'long-rush': _long_rush,
+}
--- a/src/siskinpass/connection/dialect.py
+++ b/src/siskinpass/connection/dialect.py
@@ -3,6 +3,7 @@
 The only module that knows how engines and plain services are spoken to.
 """
 
+from dataclasses import dataclass
 from functools import lru_cache
 from urllib.parse import quote
 
@@ -11,22 +12,31 @@
 from siskinpass.request.call import Call
 
 
+@dataclass(frozen=True, slots=True)
+class EngineTerms:
+    """Hold what an engine is told beside the caller's own fields.
+
+    :param priority: order in the engine's queue, 0 goes first.
+    :param resume_from: tokens that the caller already has.
+    """
+
+    priority: int
+    resume_from: int
+
+
 def engine_request(
     call: Call,
     request_id: str,
     host: str,
-    resume_from: int,
+    terms: EngineTerms,
 ) -> bytes:
-    """Return a call to a model engine, always streamed.
-
-    :param resume_from: tokens that the caller already has.
-    """
+    """Return a call to a model engine, always streamed."""
     fields = {
         **call.fields,
         'stream': True,
         'request_id': request_id,
-        'priority': call.promise.tier,
-        'resume_from': resume_from,
+        'priority': terms.priority,
+        'resume_from': terms.resume_from,
     }
     fields.setdefault('max_tokens', call.promise.max_tokens)
     return _post(call.path, host, orjson.dumps(fields), request_id)
--- a/src/siskinpass/connection/parsing.py
+++ b/src/siskinpass/connection/parsing.py
@@ -8,7 +8,6 @@
 import io
 from collections.abc import Callable
 
-import cheroot.errors
 import cheroot.server
 import cheroot.wsgi
 
@@ -177,9 +176,13 @@
     def simple_response(self, status: str | int, msg: str | Code = '') -> None:
         """Write a numbered error in place of a plain text."""
         self.close_connection = True
-        code = msg if isinstance(msg, Code) else STATUS_CODES.get(
-            str(status)[:3],
-            Code.malformed_head,
+        code = (
+            msg
+            if isinstance(msg, Code)
+            else STATUS_CODES.get(
+                str(status)[:3],
+                Code.malformed_head,
+            )
         )
         detail = '' if isinstance(msg, Code) else msg
         self.conn.outcome = PageAnswer(
--- a/src/siskinpass/process/breach.py
+++ b/src/siskinpass/process/breach.py
@@ -107,9 +107,7 @@
         return PromiseState.at_risk
 
     def _move(self, wanted: PromiseState, short: Tally, now_s: int) -> None:
-        self._good_s = (
-            self._good_s + 1 if wanted is PromiseState.holding else 0
-        )
+        self._good_s = self._good_s + 1 if wanted is PromiseState.holding else 0
         held = self._state is PromiseState.breached
         if held and self._good_s < self._policy.clear_s:
             return
--- a/src/siskinpass/process/broker.py
+++ b/src/siskinpass/process/broker.py
@@ -47,6 +47,7 @@
     :param in_order: whether tiers and targets order the queue; without it
         tickets are served as they come.
     :param pauses: whether lower tiers are paused for upper ones.
+    :param at_random: whether placement takes any server with a free slot.
     """
 
     limit: LimitPolicy = field(default_factory=LimitPolicy)
@@ -54,6 +55,7 @@
     reserve_floor: int = 1
     in_order: bool = True
     pauses: bool = True
+    at_random: bool = False
 
 
 @dataclass(slots=True)
@@ -72,7 +74,7 @@
     def __init__(self, policy: BrokerPolicy) -> None:
         """Start without servers, tickets or grants."""
         self._policy = policy
-        self._table = ServerTable(policy.limit)
+        self._table = ServerTable(policy.limit, at_random=policy.at_random)
         self._waiting = WaitingTickets()
         self._running: dict[str, Running] = {}
         self._demand: Counter[int] = Counter()
--- a/src/siskinpass/process/hosting.py
+++ b/src/siskinpass/process/hosting.py
@@ -22,7 +22,7 @@
 TICK_S = 0.05
 SESSION_GRACE_S = 1.0
 UNUSED_KEPT_S = 30.0
-FALLBACK = "fallback:"
+FALLBACK = 'fallback:'
 
 OnCommands = Callable[[list[Command]], None]
 PolicyOf = Callable[[str], BrokerPolicy]
@@ -83,9 +83,7 @@
     @property
     def groups(self) -> dict[str, Broker]:
         """Return the brokers by the name of their group."""
-        return {
-            group: hosted.broker for group, hosted in self._hosted.items()
-        }
+        return {group: hosted.broker for group, hosted in self._hosted.items()}
 
     def open(
         self,
@@ -170,5 +168,3 @@
             hosted.used_s = now_s
         elif now_s - hosted.used_s > UNUSED_KEPT_S:
             self._hosted.pop(group)
-
-
--- a/src/siskinpass/process/membership.py
+++ b/src/siskinpass/process/membership.py
@@ -184,7 +184,9 @@
     def serving(self) -> list[Member]:
         """Return the members that are neither dead nor leaving."""
         return [
-            member for member in self.members if member.state in {ALIVE, SUSPECT}
+            member
+            for member in self.members
+            if member.state in {ALIVE, SUSPECT}
         ]
 
     def apply(
@@ -216,9 +218,7 @@
     @_take.register
     def _list(self, event: SeedsListed) -> None:
         own = self._own.name
-        self._seeds = tuple(
-            seed for seed in event.members if seed.name != own
-        )
+        self._seeds = tuple(seed for seed in event.members if seed.name != own)
 
     @_take.register
     def _change(self, event: SelfChanged) -> None:
--- a/src/siskinpass/process/node.py
+++ b/src/siskinpass/process/node.py
@@ -33,7 +33,13 @@
     start_peer_server,
 )
 from siskinpass.process.relay import Relay, RelayParts
-from siskinpass.process.settings import Settings, load_peer_security
+from siskinpass.process.settings import (
+    FIFO_RANDOM,
+    LEAST_OUTSTANDING,
+    SHARED,
+    Settings,
+    load_peer_security,
+)
 from siskinpass.process.status import (
     LEASE,
     LeaseKeeper,
@@ -55,6 +61,7 @@
 ADDRESSES_TOLD = 3
 LEAVING_NOTICE_S = 1.0
 MS_PER_S = 1000
+UNLIMITED = 100_000
 
 
 class EntryNode:
@@ -118,7 +125,7 @@
             self._links.dial,
             self.metrics_book.retried,
         )
-        self.dispatcher.alone = settings.decisions == 'alone'
+        self.dispatcher.alone = settings.decisions != SHARED
 
     def _make_relay(self) -> None:
         """Make the parts that answer callers."""
@@ -139,6 +146,7 @@
                 self._counts,
                 self.metrics_book,
                 self._address_of,
+                settings.decisions not in {LEAST_OUTSTANDING, FIFO_RANDOM},
             ),
         )
         self._lease = LeaseKeeper(
@@ -426,16 +434,32 @@
         sharers = 1
         if group.startswith(FALLBACK) or self.dispatcher.alone:
             sharers = max(1, len(self.gossip.membership.serving))
+        return broker_policy(self._settings.decisions, pool, sharers)
+
+
+def broker_policy(decisions: str, pool: Pool, sharers: int) -> BrokerPolicy:
+    """Return how a broker decides for a pool.
+
+    :param decisions: process setting of that name.
+    :param sharers: instances that share the pool's slots, each with a broker
+        of its own.
+    """
+    if decisions in {LEAST_OUTSTANDING, FIFO_RANDOM}:
+        # These baselines leave all waiting to the backend servers.
         return BrokerPolicy(
-            LimitPolicy(
-                start=max(1, pool.slots // sharers),
-                least=1 if sharers > 1 else 2,
-                most=max(1, pool.slots_most // sharers),
-                token_s=pool.token_ms / MS_PER_S,
-            ),
-            in_order=self._settings.ordered,
-            pauses=self._settings.ordered,
+            LimitPolicy(start=UNLIMITED, least=UNLIMITED, most=UNLIMITED),
+            in_order=False,
+            pauses=False,
+            at_random=decisions == FIFO_RANDOM,
         )
+    return BrokerPolicy(
+        LimitPolicy(
+            start=max(1, pool.slots // sharers),
+            least=1 if sharers > 1 else 2,
+            most=max(1, pool.slots_most // sharers),
+            token_s=pool.token_ms / MS_PER_S,
+        ),
+    )
 
 
 def _spread(found: list[Address]) -> list[Address]:
--- a/src/siskinpass/process/placement.py
+++ b/src/siskinpass/process/placement.py
@@ -4,6 +4,7 @@
 of its group gets little, and at most a fraction of the group is set aside.
 """
 
+import hashlib
 import statistics
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -59,9 +60,13 @@
 class ServerTable:
     """Own the backend servers of one group."""
 
-    def __init__(self, policy: LimitPolicy) -> None:
-        """Start without servers."""
+    def __init__(self, policy: LimitPolicy, *, at_random: bool) -> None:
+        """Start without servers.
+
+        :param at_random: place without regard to load and speed.
+        """
         self._policy = policy
+        self._at_random = at_random
         self._servers: dict[str, Server] = {}
         self._prefixes: OrderedDict[int, str] = OrderedDict()
 
@@ -133,7 +138,10 @@
         for server in self._servers.values():
             if server.free_slots(now_s) <= 0:
                 continue
-            cost = _cost(server, ticket, holder)
+            if self._at_random:
+                cost = _chance(ticket, server)
+            else:
+                cost = _cost(server, ticket, holder)
             if cost < best_cost:
                 best, best_cost = server, cost
         return best
@@ -159,6 +167,12 @@
     )
 
 
+def _chance(ticket: Ticket, server: Server) -> float:
+    text = f'{ticket.ticket_id}/{server.view.name}'
+    digest = hashlib.blake2b(text.encode(), digest_size=4).digest()
+    return float(int.from_bytes(digest))
+
+
 def _cost(server: Server, ticket: Ticket, holder: str | None) -> float:
     load = float(server.running)
     if server.view.name == holder and not server.slow:
--- a/src/siskinpass/process/relay.py
+++ b/src/siskinpass/process/relay.py
@@ -47,6 +47,7 @@
     counts: CountBook
     metrics: Metrics
     address_of: Callable[[str], str]
+    tells_priority: bool
 
 
 class Relay:
@@ -67,6 +68,7 @@
             RetryBudget(),
             parts.metrics.retried,
             parts.address_of,
+            parts.tells_priority,
         )
         self.leaving = False
 
--- a/src/siskinpass/process/run.py
+++ b/src/siskinpass/process/run.py
@@ -8,6 +8,7 @@
 from siskinpass.connection.backend import BackendPool
 from siskinpass.connection.caller import CHUNKS_END, CallerConnection
 from siskinpass.connection.dialect import (
+    EngineTerms,
     assemble,
     engine_request,
     event_marker,
@@ -75,7 +76,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RunTools:
-    """Hold what every run works with."""
+    """Hold what every run works with.
+
+    :param tells_priority: whether engines are told the tier.
+    """
 
     name: str
     dispatcher: Dispatcher
@@ -84,6 +88,7 @@
     budget: RetryBudget
     note_retry: Callable[[Code], None]
     address_of: Callable[[str], str]
+    tells_priority: bool
 
 
 class RequestRun:
@@ -248,8 +253,15 @@
         request_id = self.result.request_id
         if self._is_service:
             return service_request(self._call, request_id, address)
-        tokens = self._tap.tokens
-        return engine_request(self._call, request_id, address, tokens)
+        priority = 0
+        if self._tools.tells_priority:
+            priority = self._call.promise.tier
+        return engine_request(
+            self._call,
+            request_id,
+            address,
+            EngineTerms(priority, self._tap.tokens),
+        )
 
     def _check_whole(self, attempt: Attempt) -> None:
         if self._is_service:
--- a/src/siskinpass/process/settings.py
+++ b/src/siskinpass/process/settings.py
@@ -9,6 +9,11 @@
 from siskinpass.exceptions import SettingsError
 from siskinpass.process.peers import PeerSecurity
 
+SHARED = 'shared'
+PRIORITY_LOCAL = 'priority-local'
+LEAST_OUTSTANDING = 'least-outstanding'
+FIFO_RANDOM = 'fifo-random'
+DECISIONS = (SHARED, PRIORITY_LOCAL, LEAST_OUTSTANDING, FIFO_RANDOM)
 PORT_MOST = 65_535
 KEY_LENGTH_LEAST = 8
 
@@ -26,9 +31,9 @@
     :param announced_peers: what other instances are told, if not ``peers``.
     :param platform: object store and instance list.
     :param threads: request threads of CherryPy's server.
-    :param decisions: ``shared`` for one broker for all instances, or
-        ``alone`` for decisions without the other instances.
-    :param ordered: whether tiers order the queue.
+    :param decisions: ``shared`` for one broker for all instances. The others
+        are baselines in which each instance decides for itself:
+        ``priority-local``, ``least-outstanding`` and ``fifo-random``.
     """
 
     name: str
@@ -47,8 +52,7 @@
     peer_private_key: Path | None = None
     peer_authority: Path | None = None
     threads: int = 8
-    decisions: str = 'shared'
-    ordered: bool = True
+    decisions: str = SHARED
 
 
 def check_settings(settings: Settings) -> None:
@@ -66,8 +70,8 @@
             raise _wrong(name, f'is shorter than {KEY_LENGTH_LEAST}')
     if settings.threads < 1:
         raise _wrong('threads', 'is less than 1')
-    if settings.decisions not in {'shared', 'alone'}:
-        raise _wrong('decisions', 'is not shared or alone')
+    if settings.decisions not in DECISIONS:
+        raise _wrong('decisions', f'is not one of {", ".join(DECISIONS)}')
     if not settings.name.replace('-', '').isalnum():
         raise _wrong('name', 'is not made of letters, digits and dashes')
     load_tls(settings)
--- a/src/siskinpass/process/treewatch.py
+++ b/src/siskinpass/process/treewatch.py
@@ -22,7 +22,13 @@
 WATCH_S = 10.0
 RETRY_S = 0.5
 IDLE_S = 0.5
-PEER_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError, KeyError)
+PEER_ERRORS = (
+    GRPCError,
+    StreamTerminatedError,
+    OSError,
+    TimeoutError,
+    KeyError,
+)
 
 
 class TreeWatch:
--- a/src/siskinpass/version/document.py
+++ b/src/siskinpass/version/document.py
@@ -103,9 +103,7 @@
     """Return a branch as plain mappings."""
     return {
         'settings': dict(branch.settings),
-        'classes': {
-            name: dict(leaf) for name, leaf in branch.classes.items()
-        },
+        'classes': {name: dict(leaf) for name, leaf in branch.classes.items()},
         'keys': [asdict(key) for key in branch.keys],
     }
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -273,9 +273,12 @@
 
 def _sequence(asked: dict, *, chat: bool) -> Sequence:
     metadata = asked.get('metadata') or {}
-    prompt = asked.get('prompt') or orjson.dumps(
-        asked.get('messages', []),
-    ).decode()
+    prompt = (
+        asked.get('prompt')
+        or orjson.dumps(
+            asked.get('messages', []),
+        ).decode()
+    )
     length = int(metadata.get('tokens', asked.get('max_tokens') or 16))
     return Sequence(
         request_id=str(asked.get('request_id', '')),
@@ -335,5 +338,3 @@
     server = await serve(EngineApi(engine), host, port)
     async with server:
         await engine.run()
-
-
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -181,9 +181,7 @@
         order = request.json()
         name = order.pop('name', '')
         kind = order.pop('kind')
-        chosen = (
-            [self._proxies[name]] if name else list(self._proxies.values())
-        )
+        chosen = [self._proxies[name]] if name else list(self._proxies.values())
         touched = [_carry_out(proxy, kind, order) for proxy in chosen]
         return json_response({'touched': sum(touched)})
 
