Serve timely tickets before late ones, grow limits with a burst, leave slow servers

Change: late tickets go behind timely ones of their tier; a limit far below the defended token time grows by a slot with each observation; a stream whose token target a slow server cannot keep goes on elsewhere; the median that tells a slow server is the lower one, so that one of two can be told.

--- a/src/siskinpass/codes.py
+++ b/src/siskinpass/codes.py
@@ -66,6 +66,7 @@
     retry_backend_leaving = 4006
     retry_broker_changed = 4007
     retry_answer_crossed = 4008
+    retry_backend_slow = 4009
 
     tree_invalid = 5001
     tree_conflict = 5002
@@ -174,6 +175,7 @@
     Code.retry_backend_leaving: _retry('The backend server is leaving.'),
     Code.retry_broker_changed: _retry('The ticket moved to another broker.'),
     Code.retry_answer_crossed: _retry('The answer was for another request.'),
+    Code.retry_backend_slow: _retry('The backend server became slow.'),
     Code.tree_invalid: _wrong(422, 'The tree has faults.'),
     Code.tree_conflict: _wrong(409, 'Another edit changed the same node.'),
     Code.store_down: _refused('The object store does not answer.'),
--- a/src/siskinpass/process/broker.py
+++ b/src/siskinpass/process/broker.py
@@ -11,7 +11,7 @@
 
 from siskinpass.codes import Code
 from siskinpass.process.limits import LimitPolicy
-from siskinpass.process.placement import ServerTable
+from siskinpass.process.placement import Server, ServerTable
 from siskinpass.process.reserve import SwingReserve
 from siskinpass.process.throughput import GrantRate
 from siskinpass.request.order import WaitingTickets
@@ -23,6 +23,7 @@
     Granted,
     GrantReleased,
     GrantReported,
+    Moved,
     Paused,
     Refused,
     ServersListed,
@@ -191,6 +192,7 @@
     @_take.register
     def _tick(self, event: ClockTicked) -> None:
         self._table.mark_slow(self._now_s)
+        self._move_from_slow()
         for ticket in self._waiting:
             if ticket.gives_up_s <= self._now_s and not ticket.resumed:
                 self._refuse(ticket, Code.wait_too_long)
@@ -232,6 +234,7 @@
         )
 
     def _dispatch(self) -> None:
+        self._waiting.move_late(self._now_s + self._table.first_s)
         while self._grant_owed():
             continue
         for tier in self._waiting.tiers:
@@ -299,6 +302,21 @@
                 Paused(held.ticket.ticket_id, held.ticket.entry),
             )
 
+    def _move_from_slow(self) -> None:
+        """Move streams whose token target a slow server cannot keep."""
+        free = self._table.free_slots(self._now_s)
+        for held in sorted(self._running.values(), key=_tier):
+            if free <= 0:
+                return
+            server = self._table.find(held.server)
+            if server is None or not _is_too_slow(held, server):
+                continue
+            held.pausing = True
+            free -= 1
+            self._commands.append(
+                Moved(held.ticket.ticket_id, held.ticket.entry),
+            )
+
     def _add_demand(self, ticket: Ticket, step: int) -> None:
         self._demand[ticket.tier] += step
         self._note_demand(ticket.tier)
@@ -317,6 +335,16 @@
     return held.ticket.pausable and not (held.protected or held.pausing)
 
 
+def _tier(held: Running) -> int:
+    return held.ticket.tier
+
+
+def _is_too_slow(held: Running, server: Server) -> bool:
+    target_s = held.ticket.token_s
+    late = server.slow and server.limit.token_s > target_s > 0
+    return late and held.ticket.pausable and not held.pausing
+
+
 def _pause_rank(held: Running) -> tuple[int, float]:
     return (held.ticket.tier, held.ticket.opened_s)
 
--- a/src/siskinpass/process/codec.py
+++ b/src/siskinpass/process/codec.py
@@ -11,6 +11,7 @@
     Granted,
     GrantReleased,
     GrantReported,
+    Moved,
     Paused,
     Refused,
     Ticket,
@@ -119,6 +120,11 @@
     return pb.BrokerMessage(paused=command.ticket_id)
 
 
+@encode_command.register
+def _encode_moved(command: Moved) -> pb.BrokerMessage:
+    return pb.BrokerMessage(moved=command.ticket_id)
+
+
 @encode_command.register
 def _encode_refused(command: Refused) -> pb.BrokerMessage:
     refusal = pb.RefusalMessage(
@@ -137,6 +143,8 @@
         return Granted(granted.ticket_id, entry, granted.server)
     if kind == 'paused':
         return Paused(message.paused, entry)
+    if kind == 'moved':
+        return Moved(message.moved, entry)
     refused = message.refused
     return Refused(
         refused.ticket_id,
@@ -187,6 +195,7 @@
         pausable=ticket.pausable,
         resumed=ticket.resumed,
         avoid=ticket.avoid,
+        token_ms=int(ticket.token_s * MS_PER_S),
     )
 
 
@@ -209,6 +218,7 @@
         pausable=message.pausable,
         resumed=message.resumed,
         avoid=message.avoid,
+        token_s=message.token_ms / MS_PER_S,
     )
 
 
--- a/src/siskinpass/process/desk.py
+++ b/src/siskinpass/process/desk.py
@@ -15,6 +15,7 @@
     Granted,
     GrantReleased,
     GrantReported,
+    Moved,
     Paused,
     Refused,
     Ticket,
@@ -35,6 +36,9 @@
     def paused(self) -> None:
         """Take in that the stream must make room."""
 
+    def moved(self) -> None:
+        """Take in that the stream must go on elsewhere."""
+
 
 class Port(Protocol):
     """Carry events to one broker."""
@@ -158,6 +162,13 @@
         if asked is not None and asked.server:
             asked.asker.paused()
 
+
+    @_take.register
+    def _take_move(self, command: Moved) -> None:
+        asked = self._asked.get(command.ticket_id)
+        if asked is not None and asked.server:
+            asked.asker.moved()
+
     def _tell(self, event: TicketOpened | GrantReleased) -> None:
         if self._port is None:
             self._on_use(self)
--- a/src/siskinpass/process/limits.py
+++ b/src/siskinpass/process/limits.py
@@ -26,6 +26,7 @@
 DECREASE = 0.85
 DECREASE_EVERY_S = 0.5
 TOLERANCE = 1.15
+FAR_BELOW = 0.7
 BUSY_FRACTION = 0.75
 SLOW_DECAY_S = 3.0
 
@@ -89,7 +90,9 @@
                 shrunk = min(self._limit, running) * DECREASE
                 self._limit = max(float(policy.least), shrunk)
         elif running >= self._limit * BUSY_FRACTION:
-            grown = self._limit + 1 / self._limit
+            # Far below the defended time the limit follows a burst at once.
+            far = self._token_s < policy.token_s * FAR_BELOW
+            grown = self._limit + (1.0 if far else 1 / self._limit)
             self._limit = min(float(policy.most), grown)
 
 
--- a/src/siskinpass/process/placement.py
+++ b/src/siskinpass/process/placement.py
@@ -84,6 +84,16 @@
             if not server.view.leaving
         )
 
+    @property
+    def first_s(self) -> float:
+        """Return the mean time to a first token, 0 where none was seen."""
+        seen = [
+            server.limit.first_s
+            for server in self._servers.values()
+            if server.limit.first_s > 0 and not server.slow
+        ]
+        return sum(seen) / len(seen) if seen else 0.0
+
     def free_slots(self, now_s: float) -> int:
         """Return the slots that can be granted now."""
         return sum(
@@ -120,7 +130,7 @@
         }
         if len(speeds) < 2:
             return
-        bound = SLOW_RATIO * statistics.median(speeds.values())
+        bound = SLOW_RATIO * statistics.median_low(speeds.values())
         suspects = sorted(
             (name for name in speeds if speeds[name] > bound),
             key=speeds.__getitem__,
--- a/src/siskinpass/process/run.py
+++ b/src/siskinpass/process/run.py
@@ -37,7 +37,7 @@
 ANSWER_BYTES_MOST = 8_388_608
 
 # Attempts that end for these reasons are not the backend server's fault.
-UNCHARGED = frozenset((Code.retry_paused,))
+UNCHARGED = frozenset((Code.retry_paused, Code.retry_backend_slow))
 RETRY_REASONS = {
     Code.backend_unreachable: Code.retry_connect_failed,
     Code.stream_cut: Code.retry_stream_cut,
@@ -175,6 +175,11 @@
         if self._attempt is not None:
             self._attempt.break_off(BackendError(Code.retry_paused))
 
+    def moved(self) -> None:
+        """Go on at another backend server."""
+        if self._attempt is not None:
+            self._attempt.break_off(BackendError(Code.retry_backend_slow))
+
     async def _try(self, ticket_id: str) -> None:
         pool = self._call.promise.pool
         dispatcher = self._tools.dispatcher
@@ -207,6 +212,7 @@
             pausable=self._is_pausable,
             resumed=self._has_tokens or self._pauses > 0,
             avoid=self._avoid,
+            token_s=promise.token_ms / MS_PER_S,
         )
         self._slot = self._loop.create_future()
         try:
@@ -341,7 +347,7 @@
         if self._is_service:
             self._events.clear()
         self._check_may_retry(error)
-        if error.code is Code.retry_paused:
+        if error.code in UNCHARGED:
             self._pauses += 1
         elif self._is_charged(error) and not self._spend_retry():
             raise BackendError(
--- a/src/siskinpass/request/order.py
+++ b/src/siskinpass/request/order.py
@@ -1,8 +1,10 @@
 """Keep waiting tickets in the order in which they are served.
 
-Pure logic. Within a tier the ticket whose first token is due earliest goes
-first; between tiers the more urgent tier goes first, and a guaranteed share
-of the freed slots (deficit round robin) keeps every tier moving.
+Pure logic. Between tiers the more urgent tier goes first, and a guaranteed
+share of the freed slots (deficit round robin) keeps every tier moving. Within
+a tier, streams that have begun go first, then the tickets that can still meet
+their target, the earliest due first, then those that are late already: under
+overload a late ticket does not make the next one late too.
 """
 
 from collections.abc import Iterator
@@ -19,34 +21,48 @@
 
     def __init__(self) -> None:
         """Start empty and without credit."""
-        self._order: SortedDict = SortedDict()
+        self._timely: SortedDict = SortedDict()
+        self._late: SortedDict = SortedDict()
         self.share = 0.0
         self.credit = 0.0
 
     def __len__(self) -> int:
         """Return how many tickets wait."""
-        return len(self._order)
-
-    def __iter__(self) -> Iterator[Ticket]:
-        """Iterate over the tickets, the next one first."""
-        return iter(self._order.values())
+        return len(self._timely) + len(self._late)
 
     def add(self, ticket: Ticket) -> None:
         """Add a ticket."""
-        self._order[_rank(ticket)] = ticket
+        self._timely[_rank(ticket)] = ticket
         self.share = ticket.share
 
     def discard(self, ticket: Ticket) -> None:
         """Remove a ticket."""
-        self._order.pop(_rank(ticket), None)
+        rank = _rank(ticket)
+        if self._timely.pop(rank, None) is None:
+            self._late.pop(rank, None)
+
+    def move_late(self, due_s: float) -> None:
+        """Set the tickets back whose first token was due before a time."""
+        while self._timely:
+            rank, ticket = self._timely.peekitem(self._begun())
+            if ticket.resumed or ticket.due_s >= due_s:
+                return
+            self._late[rank] = self._timely.pop(rank)
 
     def first(self) -> Ticket:
         """Return the ticket to serve next."""
-        return self._order.peekitem(0)[1]
+        queue = self._timely or self._late
+        return queue.peekitem(0)[1]
 
     def last(self) -> Ticket:
         """Return the ticket to serve last."""
-        return self._order.peekitem(-1)[1]
+        queue = self._late or self._timely
+        return queue.peekitem(-1)[1]
+
+    def _begun(self) -> int:
+        """Return the place of the first ticket whose stream has not begun."""
+        place = self._timely.bisect_left(_FIRST_FRESH)
+        return min(place, len(self._timely) - 1)
 
 
 class WaitingTickets:
@@ -98,6 +114,11 @@
             self._tiers[ticket.tier].discard(ticket)
         return ticket
 
+    def move_late(self, due_s: float) -> None:
+        """Set the tickets back whose first token was due before a time."""
+        for queue in self._tiers.values():
+            queue.move_late(due_s)
+
     def first(self, tier: int) -> Ticket:
         """Return the next ticket of a tier."""
         return self._tiers[tier].first()
@@ -137,5 +158,8 @@
                 queue.credit = min(SHARE_CREDIT_MOST, credit)
 
 
+_FIRST_FRESH = (True, float('-inf'), '')
+
+
 def _rank(ticket: Ticket) -> tuple[bool, float, str]:
     return (not ticket.resumed, ticket.due_s, ticket.ticket_id)
--- a/src/siskinpass/request/ticket.py
+++ b/src/siskinpass/request/ticket.py
@@ -26,6 +26,7 @@
     :param pausable: whether the stream may be cancelled and resumed.
     :param resumed: whether some tokens were already delivered.
     :param avoid: backend server that just failed for this request.
+    :param token_s: target of the mean time between tokens, 0 for none.
     """
 
     ticket_id: str
@@ -41,6 +42,7 @@
     pausable: bool = True
     resumed: bool = False
     avoid: str = ''
+    token_s: float = 0.0
 
     @property
     def due_s(self) -> float:
@@ -182,4 +184,12 @@
     entry: str
 
 
-Command = Granted | Refused | Paused
+@dataclass(frozen=True, slots=True)
+class Moved:
+    """A running stream has to leave a backend server that became slow."""
+
+    ticket_id: str
+    entry: str
+
+
+Command = Granted | Refused | Paused | Moved
