--- a/src/siskinpass/connection/caller.py
+++ b/src/siskinpass/connection/caller.py
@@ -46,6 +46,7 @@
         self._body: asyncio.Future[bytes] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._reading = True
+        self._ended = False
         self.on_lost: Callable[[], None] | None = None
         self.on_flow: Callable[[bool], None] | None = None
 
@@ -76,6 +77,7 @@
 
     def eof_received(self) -> bool:
         """Answer a request cut short; a whole one is still answered."""
+        self._ended = True
         if self._body is not None and not self._body.done():
             self._body.set_exception(RequestError(Code.body_cut_short))
             return True
@@ -212,7 +214,11 @@
         self.finish(keep_alive=page.keep_alive)
 
     def _look_for_body(self) -> None:
-        if self._body.done() or len(self._arrived) < self._wanted:
+        if self._body.done():
+            return
+        if len(self._arrived) < self._wanted:
+            if self._ended:
+                self._body.set_exception(RequestError(Code.body_cut_short))
             return
         self._clear_timer()
         body = bytes(self._arrived[: self._wanted])
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -67,6 +67,7 @@
     model: str
     sent: int = 0
     prefilled: bool = False
+    crossed: bool = False
     cancelled: bool = False
     tokens: asyncio.Queue = field(default_factory=asyncio.Queue)
 
@@ -80,6 +81,7 @@
         self.slow = 1.0
         self.leaving = False
         self.models = set(options.models)
+        self.cross = 0
         self.fence = 0
         self.orders: list[dict] = []
         self.log: dict[str, list[dict]] = {}
@@ -246,6 +248,7 @@
             return json_response(self._engine.orders)
         order = request.json()
         self._engine.slow = float(order.get('slow', self._engine.slow))
+        self._engine.cross = int(order.get('cross', self._engine.cross))
         self._engine.leaving = bool(order.get('leaving', self._engine.leaving))
         return json_response({'slow': self._engine.slow})
 
@@ -257,6 +260,10 @@
             return json_response({'error': 'model not loaded'}, 404)
         chat = request.path.endswith('chat/completions')
         sequence = _sequence(asked, chat=chat)
+        if self._engine.cross > 0:
+            # The answer will be for a request that nobody here has made.
+            self._engine.cross -= 1
+            sequence.crossed = True
         self._engine.submit(sequence, int(asked.get('priority', 0)))
         runs = self._engine.log.setdefault(sequence.request_id, [])
         run = {'from': sequence.resumed, 'sent': 0, 'end': 'open'}
@@ -323,7 +330,7 @@
         choice['text'] = text
         kind = 'text_completion'
     document = {
-        'id': sequence.request_id,
+        'id': 'other' if sequence.crossed else sequence.request_id,
         'object': kind,
         'created': 0,
         'model': sequence.model,
