Measure what the path adds

Cause: the overhead was not known. Change: bench overhead: added time of a small call beside 1, 50, 200 and 400 streams, processor time a token and a call, memory a stream, threads.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 
 from cyclopts import App
 
-from bench import experiment
+from bench import experiment, overhead
 from bench.demo import demo
 
 app = App(name='bench', help='Drive real processes and measure them.')
@@ -32,4 +32,10 @@
     experiment.show(report)
 
 
+@app.command(name='overhead')
+def overhead_command() -> None:
+    """Measure what the path adds over a direct call."""
+    overhead.show(overhead.measure())
+
+
 app()
--- /dev/null
+++ b/bench/overhead.py
@@ -0,0 +1,180 @@
+"""Measure what the path adds: time, processor time and memory."""
+
+import asyncio
+import os
+import statistics
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import orjson
+import uvloop
+
+from bench.cluster import BUILD, Cluster, Plan, running
+from bench.load import Answer, Job, Target, play, send
+from bench.summary import quantile
+
+SIZES = (1, 50, 200, 400)
+ENGINES = 4
+TOKENS = 200
+STEP_MS = 20
+PROBES = 200
+TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+OUT = BUILD / 'bench' / 'overhead.json'
+ROW = '{:>8}{:>12}{:>12}{:>12}{:>12}{:>14}{:>14}{:>12}{:>10}\n'
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Hold what a process has used so far."""
+
+    cpu_s: float
+    rss_kb: int
+    threads: int
+
+
+def usage(pid: int) -> Usage:
+    """Read processor time, memory and threads of a process."""
+    fields = Path(f'/proc/{pid}/stat').read_text().rsplit(') ', 1)[1].split()
+    status = Path(f'/proc/{pid}/status').read_text()
+    rss_kb = int(status.split('VmRSS:')[1].split()[0])
+    cpu_s = (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+    return Usage(cpu_s, rss_kb, int(fields[17]))
+
+
+def plan() -> Plan:
+    """Return a deployment whose engines never bind."""
+    engine = {
+        'step_ms': STEP_MS,
+        'sequence_ms': 0,
+        'prefill_ms': 0,
+        'batch': 2000,
+    }
+    return Plan(
+        tree=Path('bench/overhead.yaml'),
+        entries=1,
+        engines={f'engine-{number}': engine for number in range(ENGINES)},
+        services={'app-1': {'work_ms': 0}},
+    )
+
+
+def measure(sizes: Sequence[int] = SIZES) -> list[dict[str, Any]]:
+    """Return one row per number of concurrent streams."""
+    with running(plan()) as cluster:
+        rows = [uvloop.run(_measure(cluster, size)) for size in sizes]
+    OUT.parent.mkdir(parents=True, exist_ok=True)
+    OUT.write_bytes(orjson.dumps(rows, option=orjson.OPT_INDENT_2))
+    return rows
+
+
+def show(rows: Sequence[dict[str, Any]]) -> None:
+    """Print the rows."""
+    write = sys.stdout.write
+    write(
+        ROW.format(
+            'streams',
+            'direct p50',
+            'added p50',
+            'added p99',
+            'tokens/s',
+            'us CPU/token',
+            'ms CPU/call',
+            'KB/stream',
+            'threads',
+        ),
+    )
+    for row in rows:
+        write(
+            ROW.format(
+                row['streams'],
+                f'{row["direct_p50_ms"]:.2f}',
+                f'{row["added_p50_ms"]:.2f}',
+                f'{row["added_p99_ms"]:.2f}',
+                f'{row["tokens_per_s"]:.0f}',
+                f'{row["cpu_us_per_token"]:.1f}',
+                f'{row["cpu_ms_per_call"]:.2f}',
+                f'{row["kb_per_stream"]:.0f}',
+                row['threads'],
+            ),
+        )
+
+
+async def _measure(cluster: Cluster, size: int) -> dict[str, Any]:
+    entry = cluster.entries[0]
+    pid = entry.process.pid
+    where = Target([entry.callers], cluster.keys, 'm1')
+    app = next(iter(cluster.plan.services))
+    direct = replace(where, addresses=[cluster.addresses[app]], kept={})
+    await _probe(where, 20)
+    idle = usage(pid)
+    calls = await _probe(where, PROBES)
+    quiet = usage(pid)
+    jobs = [_stream(number, size) for number in range(size)]
+    start_s = time.monotonic()
+    streams = asyncio.ensure_future(play(jobs, where))
+    await asyncio.sleep(1.5)
+    middle = usage(pid)
+    straight = await _probe(direct, PROBES, pause_s=0.004)
+    added = await _probe(where, PROBES, pause_s=0.004)
+    answers = await streams
+    end = usage(pid)
+    span_s = time.monotonic() - start_s
+    return _row(
+        size,
+        answers,
+        (straight, added, calls),
+        (idle, quiet, middle, end),
+        span_s,
+    )
+
+
+def _row(size, answers, probes, used, span_s) -> dict[str, Any]:
+    straight, added, _ = probes
+    idle, quiet, middle, end = used
+    tokens = sum(answer.tokens for answer in answers)
+    if not all(answer.whole for answer in answers):
+        raise RuntimeError('a stream was not whole')
+    per_call_s = (quiet.cpu_s - idle.cpu_s) / PROBES
+    # The probes sent beside the streams are not the tokens' cost.
+    cpu_s = end.cpu_s - quiet.cpu_s - PROBES * per_call_s
+    return {
+        'streams': size,
+        'direct_p50_ms': quantile(straight, 0.5),
+        'added_p50_ms': quantile(added, 0.5) - quantile(straight, 0.5),
+        'added_p99_ms': quantile(added, 0.99) - quantile(straight, 0.99),
+        'tokens_per_s': tokens / span_s,
+        'cpu_us_per_token': cpu_s / tokens * 1_000_000,
+        'cpu_ms_per_call': per_call_s * 1000,
+        'kb_per_stream': (middle.rss_kb - quiet.rss_kb) / size,
+        'rss_mb': end.rss_kb / 1024,
+        'cpu_of_a_core': (end.cpu_s - quiet.cpu_s) / span_s,
+        'threads': middle.threads,
+        'first_p50_ms': statistics.median(
+            (answer.first_s - answer.sent_s) * 1000 for answer in answers
+        ),
+    }
+
+
+def _stream(number: int, size: int) -> Job:
+    at_s = number / size
+    return Job(at_s, 'one', 'stream', 'engine', TOKENS, 'p', number)
+
+
+async def _probe(
+    where: Target,
+    count: int,
+    pause_s: float = 0,
+) -> list[float]:
+    """Return the times of small calls in ms, ordered."""
+    times = []
+    for number in range(count):
+        job = Job(0, 'one', 'probe', 'service', 0, '', number)
+        answer: Answer = await send(job, where, where.addresses[0])
+        if not answer.whole:
+            raise RuntimeError(f'a probe failed: {answer}')
+        times.append((answer.end_s - answer.sent_s) * 1000)
+        await asyncio.sleep(pause_s)
+    return sorted(times)
