--- a/bench/bound.py
+++ b/bench/bound.py
@@ -2,8 +2,9 @@
 
 One scheduler sees all requests; each engine has a number of slots whose
 tokens take the time of a full batch. An upper tier takes a lower tier's slot
-at once and without cost. A request meets its target when its first token is
-in time.
+at once and without cost. A request that would be late is not run at all, so
+that it costs the others nothing. This is a bound for one class of equal
+targets up to the order of the jobs, and a near one for a mix.
 """
 
 import heapq
@@ -35,10 +36,13 @@
         ahead = sorted((*ahead, *by_tier[tier]), key=lambda job: job.at_s)
         free = [0.0] * slots
         for job in ahead:
-            start_s = max(job.at_s, heapq.heappop(free))
-            heapq.heappush(free, start_s + job.tokens * token_s)
             promise = known[job.leaf]
+            start_s = max(job.at_s, free[0])
+            first_ms = (start_s - job.at_s) * 1000 + STEP_MS
+            timely = first_ms <= promise.first_token_ms
+            if timely:
+                end_s = start_s + job.tokens * token_s
+                heapq.heapreplace(free, end_s)
             if promise.tier == tier:
-                first_ms = (start_s - job.at_s) * 1000 + STEP_MS
-                met[job.leaf].append(first_ms <= promise.first_token_ms)
+                met[job.leaf].append(timely)
     return {leaf: sum(oks) / len(oks) for leaf, oks in met.items()}
--- a/src/siskinpass/process/broker.py
+++ b/src/siskinpass/process/broker.py
@@ -6,11 +6,12 @@
 """
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from functools import singledispatchmethod
 
 from siskinpass.codes import Code
-from siskinpass.process.limits import LimitPolicy
+from siskinpass.process.limits import LimitPolicy, Sample
 from siskinpass.process.placement import Server, ServerTable
 from siskinpass.process.reserve import SwingReserve
 from siskinpass.process.throughput import GrantRate
@@ -105,8 +106,17 @@
         :param event: what happened.
         :param now_s: the clock in seconds; it never goes back.
         """
+        return self.apply_all((event,), now_s)
+
+    def apply_all(
+        self,
+        events: Iterable[Event],
+        now_s: float,
+    ) -> list[Command]:
+        """Take in events that came together, and decide once."""
         self._now_s = max(self._now_s, now_s)
-        self._take(event)
+        for event in events:
+            self._take(event)
         self._dispatch()
         commands, self._commands = self._commands, []
         return commands
@@ -165,8 +175,7 @@
         server.limit.observe(
             event.token_s,
             event.first_s,
-            server.running,
-            self._now_s,
+            Sample(event.count, server.running, self._now_s),
         )
 
     @_take.register
--- a/src/siskinpass/process/hosting.py
+++ b/src/siskinpass/process/hosting.py
@@ -104,8 +104,7 @@
         hosted = self._hosted.get(session.group)
         if hosted is None or hosted.sessions.get(session.entry) != session:
             return
-        for event in events:
-            self._apply(hosted, event)
+        self._apply(hosted, *events)
 
     def end(self, session: Session) -> None:
         """End a session after a grace in which a new one may replace it."""
@@ -144,8 +143,8 @@
     def _listed(self, group: str) -> tuple[ServerView, ...]:
         return self._servers.get(group.removeprefix(FALLBACK), ())
 
-    def _apply(self, hosted: _Hosted, event: Event) -> None:
-        commands = hosted.broker.apply(event, self._loop.time())
+    def _apply(self, hosted: _Hosted, *events: Event) -> None:
+        commands = hosted.broker.apply_all(events, self._loop.time())
         if not commands:
             return
         by_entry: dict[str, list[Command]] = {}
--- a/src/siskinpass/process/limits.py
+++ b/src/siskinpass/process/limits.py
@@ -22,15 +22,30 @@
     token_s: float = 0.04
 
 
-SMOOTHING = 0.25  # one late token moves the mean by a quarter
+SMOOTHING = 0.35
 DECREASE = 0.85
 DECREASE_EVERY_S = 0.5
 TOLERANCE = 1.15
 FAR_BELOW = 0.7
+FAR_GROWTH = 0.25  # slots for each token seen
+NEAR_GROWTH = 0.15
 BUSY_FRACTION = 0.75
 SLOW_DECAY_S = 3.0
 
 
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """Describe when and on what an observation was made.
+
+    :param tokens: tokens that it is made of.
+    :param running: slots in use when it was made.
+    """
+
+    tokens: int
+    running: int
+    now_s: float
+
+
 class SlotLimit:
     """Track the limit and the speed of one backend server."""
 
@@ -58,43 +73,41 @@
         """Return the smoothed time to the first token."""
         return self._first_s
 
-    def observe(
-        self,
-        token_s: float,
-        first_s: float,
-        running: int,
-        now_s: float,
-    ) -> None:
+    def observe(self, token_s: float, first_s: float, sample: Sample) -> None:
         """Take in one observation.
 
         :param token_s: mean time between tokens, 0 where none was seen.
         :param first_s: time to the first token, 0 where none was seen.
-        :param running: slots in use when it was made.
         """
-        self._seen_s = now_s
+        self._seen_s = sample.now_s
         if first_s > 0:
             self._first_s = _smooth(self._first_s, first_s)
         if token_s > 0:
             self._token_s = _smooth(self._token_s, token_s)
-            self._adapt(running, now_s)
+            self._adapt(sample)
 
     def is_stale(self, now_s: float) -> bool:
         """Tell whether the speed is too old to be believed."""
         return now_s - self._seen_s > SLOW_DECAY_S
 
-    def _adapt(self, running: int, now_s: float) -> None:
+    def _adapt(self, sample: Sample) -> None:
         policy = self._policy
         if self._token_s > policy.token_s * TOLERANCE:
-            if now_s - self._decreased_s >= DECREASE_EVERY_S:
-                self._decreased_s = now_s
-                shrunk = min(self._limit, running) * DECREASE
-                self._limit = max(float(policy.least), shrunk)
-        elif running >= self._limit * BUSY_FRACTION:
+            self._shrink(sample)
+        elif sample.running >= self._limit * BUSY_FRACTION:
             # Far below the defended time the limit follows a burst at once.
             far = self._token_s < policy.token_s * FAR_BELOW
-            grown = self._limit + (1.0 if far else 1 / self._limit)
+            growth = FAR_GROWTH if far else NEAR_GROWTH / self._limit
+            grown = self._limit + sample.tokens * growth
             self._limit = min(float(policy.most), grown)
 
+    def _shrink(self, sample: Sample) -> None:
+        if sample.now_s - self._decreased_s < DECREASE_EVERY_S:
+            return
+        self._decreased_s = sample.now_s
+        shrunk = min(self._limit, sample.running) * DECREASE
+        self._limit = max(float(self._policy.least), shrunk)
+
 
 def _smooth(old: float, new: float) -> float:
     if old <= 0:
--- a/src/siskinpass/process/streams.py
+++ b/src/siskinpass/process/streams.py
@@ -45,6 +45,33 @@
         self.first_told = False
 
 
+class _Speed:
+    """Add up what one sweep saw of one backend server."""
+
+    __slots__ = ('count', 'first_count', 'first_sum_s', 'sum_s')
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.sum_s = 0.0
+        self.first_count = 0
+        self.first_sum_s = 0.0
+
+    def add(self, token_s: float, count: int, first_s: float) -> None:
+        self.count += count
+        self.sum_s += token_s * count
+        if first_s > 0:
+            self.first_count += 1
+            self.first_sum_s += first_s
+
+    def observed(self, server: str) -> TokensObserved:
+        return TokensObserved(
+            server,
+            self.sum_s / self.count if self.count else 0.0,
+            self.first_sum_s / self.first_count if self.first_count else 0.0,
+            self.count,
+        )
+
+
 class StreamWatch:
     """Sweep over the open attempts."""
 
@@ -52,6 +79,7 @@
         """Start without attempts."""
         self._dispatcher = dispatcher
         self._attempts: dict[Watched, _Progress] = {}
+        self._speeds: dict[tuple[str, str], _Speed] = {}
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -77,6 +105,13 @@
             for attempt, progress in tuple(self._attempts.items()):
                 self._measure(attempt, progress)
                 self._check(attempt, progress, now_s)
+            self._tell()
+
+    def _tell(self) -> None:
+        """Tell the brokers of each server's speed, once a sweep."""
+        speeds, self._speeds = self._speeds, {}
+        for (pool, server), speed in speeds.items():
+            self._dispatcher.observe(pool, speed.observed(server))
 
     def _measure(self, attempt: Watched, progress: _Progress) -> None:
         tap = attempt.tap
@@ -96,10 +131,11 @@
         token_s = (tap.last_s - progress.last_s) / count if count else 0.0
         progress.token_s = token_s or progress.token_s
         progress.tokens, progress.last_s = tap.tokens, tap.last_s
-        self._dispatcher.observe(
-            attempt.pool,
-            TokensObserved(attempt.server, token_s, first_s, count),
-        )
+        key = (attempt.pool, attempt.server)
+        speed = self._speeds.get(key)
+        if speed is None:
+            speed = self._speeds[key] = _Speed()
+        speed.add(token_s, count, first_s)
 
     def _check(
         self,
