Add the chaos run and its broken safeguards

Cause: the promises were proved one failure at a time. Change: make chaos SEED MINUTES BREAK: eight instances behind proxies under load, with kills, pauses, stops, crashes, slow, leaving and crossing engines, cuts, silence, one-way loss, store outages, slowness, lost confirmations, stale reads and racing operators; checks from the callers' and the back ends' logs. Conclusion: it must still be shown that it can fail.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SOURCES := src standins bench tests
 export UV_USE_IO_URING = 0
 
-.PHONY: test lint format demo bench capacity proto
+.PHONY: test lint format demo bench chaos overhead capacity proto
 
 $(READY): pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
@@ -35,6 +35,14 @@
 bench: $(READY)
 	$(BIN)/python -m bench run --scenario $(SCENARIO) --policy $(POLICY) --seed $(SEED) --instances $(INSTANCES)
 
+MINUTES ?= 1
+BREAK ?=
+chaos: $(READY)
+	$(BIN)/python -m bench chaos --seed $(SEED) --minutes $(MINUTES) --broken '$(BREAK)'
+
+overhead: $(READY)
+	$(BIN)/python -m bench overhead
+
 capacity: $(READY)
 	$(BIN)/python -m bench capacity
 
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 
 from cyclopts import App
 
-from bench import experiment, overhead
+from bench import chaos, experiment, overhead
 from bench.demo import demo
 
 app = App(name='bench', help='Drive real processes and measure them.')
@@ -38,4 +38,17 @@
     overhead.show(overhead.measure())
 
 
+@app.command(name='chaos')
+def chaos_command(
+    *,
+    seed: int = 1,
+    minutes: float = 1.0,
+    broken: str = '',
+) -> None:
+    """Break a deployment at random and check every promise."""
+    verdict = chaos.chaos(seed, minutes, broken)
+    chaos.show(verdict)
+    sys.exit(1 if verdict.violations else 0)
+
+
 app()
--- /dev/null
+++ b/bench/broken.py
@@ -0,0 +1,120 @@
+"""Run the command line with one safeguard taken out.
+
+``python -m bench.broken NAME serve ...`` shows that the chaos run notices
+when the safeguard of that name is missing.
+"""
+
+import sys
+from collections.abc import Callable
+
+from siskinpass import cli
+from siskinpass.codes import Ran
+from siskinpass.process.attempt import Attempt
+from siskinpass.process.claims import Claims, HeldClaim
+from siskinpass.process.placement import Server
+from siskinpass.process.relay import Relay
+from siskinpass.process.run import RequestRun
+from siskinpass.request.claim import Claim, ClaimState
+from siskinpass.request.stream import TokenTap
+from siskinpass.version.book import VersionBook
+
+
+def break_crossed() -> None:
+    """Pass on events whatever request they are for."""
+    start = TokenTap.__init__
+
+    def forget_marker(self, marker: bytes) -> None:
+        start(self, b'"id":"')
+
+    TokenTap.__init__ = forget_marker
+
+
+def break_once() -> None:
+    """Retry calls that may not be repeated."""
+    RequestRun._check_may_retry = lambda self, error: None
+
+
+def break_claims() -> None:
+    """Run without asking whether the key was claimed."""
+
+    async def make(self, call) -> HeldClaim:
+        claim = Claim('none', call.digest, ClaimState.open, 0)
+        return HeldClaim('claims/none', claim, 0)
+
+    async def settle(self, *args) -> None:
+        """Write nothing."""
+
+    Claims.make = make
+    Claims.settle = settle
+
+
+def break_drain() -> None:
+    """Stop without waiting for open requests."""
+
+    async def drain(self) -> None:
+        """Wait for nothing."""
+
+    Relay.drain = drain
+
+
+def break_versions() -> None:
+    """Put any version in force, a lower one too."""
+
+    def offer(self, version) -> bool:
+        self._current = version
+        return True
+
+    VersionBook.offer = offer
+
+
+def break_resume() -> None:
+    """Resume every stream from its start."""
+    TokenTap.tokens = property(
+        lambda self: 0,
+        lambda self, count: None,
+    )
+
+
+def break_leaving() -> None:
+    """Give work to leaving backend servers."""
+
+    def free_slots(self, now_s: float) -> int:
+        return self.limit.slots - self.running
+
+    Server.free_slots = free_slots
+
+
+def break_whole() -> None:
+    """Take a stream that broke off for whole."""
+
+    def take_failure(self, error) -> None:
+        self._connection = None
+        if not self.finished.done():
+            self.finished.set_result(None)
+
+    Attempt.take_failure = take_failure
+
+
+def break_truth() -> None:
+    """Say of every failed request that it was not run."""
+    RequestRun.ran = property(
+        lambda self: Ran.no,
+        lambda self, ran: None,
+    )
+
+
+BREAKS: dict[str, Callable[[], None]] = {
+    'crossed': break_crossed,
+    'once': break_once,
+    'claims': break_claims,
+    'drain': break_drain,
+    'versions': break_versions,
+    'resume': break_resume,
+    'leaving': break_leaving,
+    'whole': break_whole,
+    'truth': break_truth,
+}
+
+if __name__ == '__main__':
+    BREAKS[sys.argv.pop(1)]()
+    cli.main()
--- /dev/null
+++ b/bench/chaos.py
@@ -0,0 +1,430 @@
+"""Break a deployment at random under load, and check every promise."""
+
+import asyncio
+import random
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+import uvloop
+
+from bench.chaos_checks import Evidence, find_violations
+from bench.cluster import BUILD, Cluster, Entry, deployment, running
+from bench.load import Answer, Job, Target, as_row, send
+
+ENTRIES = 8
+DEPLOYMENT = 'fieltro-lanera'
+RATES = (
+    ('counter', 'engine', 12.0, 15),
+    ('order', 'service', 8.0, 0),
+    ('stock', 'service', 4.0, 0),
+    ('summary', 'engine', 2.0, 60),
+    ('pattern', 'engine', 2.0, 200),
+)
+SAMPLE_S = 0.5
+ORDER_TRIES = 3
+QUIET_S = 1.5
+
+
+class Chaos:
+    """Own one chaos run."""
+
+    def __init__(self, cluster: Cluster, seed: int, seconds: float) -> None:
+        """Start with everything healthy."""
+        self._cluster = cluster
+        self._chance = random.Random(seed)
+        self._load_chance = random.Random(seed + 1)
+        self._seconds = seconds
+        self._model = 'fieltro-chat'
+        self._target = Target([], cluster.keys, self._model, seed)
+        self._up = set(range(ENTRIES))
+        self._tasks: set[asyncio.Task] = set()
+        self._number = 0
+        self.evidence = Evidence()
+        self.injected: Counter[str] = Counter()
+
+    async def run(self) -> None:
+        """Load, break and watch for the whole time."""
+        start_s = time.monotonic()
+        watching = asyncio.ensure_future(self._watch())
+        breaking = asyncio.ensure_future(self._break(start_s))
+        await self._load(start_s)
+        await breaking
+        await self._heal()
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+        watching.cancel()
+        await self._gather()
+
+    async def _load(self, start_s: float) -> None:
+        total = sum(rate for _, _, rate, _ in RATES)
+        while time.monotonic() - start_s < self._seconds:
+            await asyncio.sleep(self._load_chance.expovariate(total))
+            chosen = self._load_chance.choices(
+                RATES,
+                [rate for _, _, rate, _ in RATES],
+            )[0]
+            self._keep(self._one(chosen))
+
+    def _keep(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _one(self, chosen: tuple[str, str, float, int]) -> None:
+        leaf, kind, _, tokens = chosen
+        self._number += 1
+        job = Job(
+            0,
+            self._load_chance.choice(sorted(self._target.keys)),
+            leaf,
+            kind,
+            max(1, int(tokens * self._load_chance.uniform(0.5, 1.5))),
+            'sizes and colours ' * 4,
+            self._number,
+        )
+        tries = ORDER_TRIES if kind == 'service' else 1
+        for _ in range(tries):
+            answer = await self._send(job)
+            if answer.whole or answer.ran == 'yes':
+                return
+            await asyncio.sleep(max(0.2, answer.retry_after_ms / 1000))
+
+    async def _send(self, job: Job) -> Answer:
+        number = self._load_chance.choice(sorted(self._up))
+        entry = self._cluster.entries[number]
+        answer = await send(job, self._target, entry.callers)
+        self.evidence.answers.append((entry.name, job, answer))
+        return answer
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(SAMPLE_S)
+            for number in sorted(self._up):
+                entry = self._cluster.entries[number]
+                pid = entry.process.pid
+                try:
+                    status = await asyncio.to_thread(
+                        self._cluster.status,
+                        entry,
+                    )
+                except Exception:  # noqa: BLE001, S112
+                    continue
+                self.evidence.versions.append(
+                    (entry.name, pid, status['version']),
+                )
+
+    async def _break(self, start_s: float) -> None:
+        faults: list[Callable[[], Awaitable[None]]] = [
+            self._kill_entry,
+            self._pause_entry,
+            self._stop_entry,
+            self._crash_engine,
+            self._slow_engine,
+            self._leave_engine,
+            self._cross_engine,
+            self._cut_connections,
+            self._silence_connections,
+            self._lose_one_way,
+            self._store_down,
+            self._store_slow,
+            self._lose_confirmations,
+            self._stale_reads,
+            self._edit_tree,
+            self._edit_tree,
+        ]
+        running_faults: set[asyncio.Task] = set()
+        while time.monotonic() - start_s < self._seconds - QUIET_S:
+            fault = self._chance.choice(faults)
+            self.injected[fault.__name__.strip('_')] += 1
+            self.evidence.trace.append(
+                (time.monotonic() - start_s, fault.__name__),
+            )
+            task = asyncio.ensure_future(fault())
+            running_faults.add(task)
+            task.add_done_callback(running_faults.discard)
+            # Now and then two faults come together.
+            await asyncio.sleep(self._chance.choice((0.0, 0.7, 1.5, 3.0)))
+        if running_faults:
+            await asyncio.wait(running_faults)
+
+    def _take_entry(self) -> Entry | None:
+        """Take an entry out of use, but never the last few."""
+        if len(self._up) <= ENTRIES // 2:
+            return None
+        number = self._chance.choice(sorted(self._up))
+        self._up.discard(number)
+        return self._cluster.entries[number]
+
+    def _give_entry(self, entry: Entry) -> None:
+        self._up.add(self._cluster.entries.index(entry))
+
+    async def _kill_entry(self) -> None:
+        entry = self._take_entry()
+        if entry is None:
+            return
+        self.evidence.killed.append((entry.name, time.monotonic()))
+        await asyncio.to_thread(self._cluster.kill, entry.process)
+        await asyncio.sleep(self._chance.uniform(0.1, 4))
+        await self._restart(entry)
+
+    async def _restart(self, entry: Entry) -> None:
+        self._cluster.start_entry(entry)
+        await asyncio.to_thread(
+            self._cluster.wait_http,
+            entry.callers,
+            '/readyz',
+        )
+        self._give_entry(entry)
+
+    async def _pause_entry(self) -> None:
+        entry = self._take_entry()
+        if entry is None:
+            return
+        entry.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self._chance.uniform(0.5, 6))
+        entry.process.send_signal(signal.SIGCONT)
+        self._give_entry(entry)
+
+    async def _stop_entry(self) -> None:
+        entry = self._take_entry()
+        if entry is None:
+            return
+        self.evidence.stopped.append((entry.name, time.monotonic()))
+        entry.process.send_signal(signal.SIGTERM)
+        await asyncio.to_thread(entry.process.wait)
+        if entry.process.returncode != 0:
+            code = entry.process.returncode
+            self.evidence.bad_stops.append(f'{entry.name} ended with {code}')
+        await self._restart(entry)
+
+    def _engine(self) -> str:
+        return self._chance.choice(sorted(self._cluster.plan.engines))
+
+    async def _crash_engine(self) -> None:
+        name = self._engine()
+        process = self._cluster.processes[name]
+        if process.poll() is not None:
+            return
+        await self._gather_engine(name)
+        await asyncio.to_thread(self._cluster.kill, process)
+        await asyncio.sleep(self._chance.uniform(0.5, 4))
+        self._cluster.start_engine(name)
+
+    async def _slow_engine(self) -> None:
+        name = self._engine()
+        await self._order(name, {'slow': self._chance.choice((2, 5))})
+        await asyncio.sleep(self._chance.uniform(1, 5))
+        await self._order(name, {'slow': 1})
+
+    async def _cross_engine(self) -> None:
+        await self._order(self._engine(), {'cross': 2})
+
+    async def _leave_engine(self) -> None:
+        name = self._engine()
+        if self.evidence.is_leaving(name):
+            return
+        start_s = time.time()
+        window = [name, start_s, float('inf')]
+        self.evidence.leaving.append(window)
+        await self._list(name, 'leaving')
+        await asyncio.sleep(self._chance.uniform(4, 7))
+        window[2] = time.time()
+        await self._gather_engine(name)
+        await self._list(name, 'live')
+
+    async def _cut_connections(self) -> None:
+        await self._fault(kind='cut', name=self._proxied())
+
+    async def _silence_connections(self) -> None:
+        await self._fault(kind='silence', name=self._proxied())
+
+    def _proxied(self) -> str:
+        names = [
+            *self._cluster.plan.engines,
+            *(entry.name for entry in self._cluster.entries),
+            'platform',
+        ]
+        return self._chance.choice(names)
+
+    async def _lose_one_way(self) -> None:
+        one, other = self._chance.sample(self._cluster.entries, 2)
+        source = one.peers.rsplit(':', 1)[0]
+        fault = {'name': other.name, 'kind': 'set', 'source': source}
+        await self._fault(**fault, drop_out=True)
+        await asyncio.sleep(self._chance.uniform(1, 5))
+        await self._fault(**fault, drop_out=False)
+
+    async def _store_down(self) -> None:
+        await self._store({'down': True})
+        await asyncio.sleep(self._chance.uniform(1, 8))
+        await self._store({'down': False})
+
+    async def _store_slow(self) -> None:
+        await self._store({'slow_s': 0.4})
+        await asyncio.sleep(self._chance.uniform(1, 5))
+        await self._store({'slow_s': 0})
+
+    async def _lose_confirmations(self) -> None:
+        await self._store({'lose_confirmations': 3})
+
+    async def _stale_reads(self) -> None:
+        await self._store({'stale_reads': 6})
+
+    async def _edit_tree(self) -> None:
+        """Let two operators edit at once, at two instances."""
+        entries = [
+            self._cluster.entries[number]
+            for number in self._chance.sample(sorted(self._up), 2)
+        ]
+        await asyncio.gather(*[self._edit(entry) for entry in entries])
+
+    async def _edit(self, entry: Entry) -> None:
+        name = self._chance.choice(sorted(self._target.keys))
+        level = self._chance.randrange(40_000, 90_000)
+        try:
+            number = await asyncio.to_thread(
+                self._propose,
+                entry,
+                name,
+                level,
+            )
+        except Exception:  # noqa: BLE001
+            return
+        if number:
+            self.evidence.edits.append((number, name, level))
+
+    def _propose(self, entry: Entry, name: str, level: int) -> int | None:
+        told = self._cluster.operate('GET', '/tree', b'', entry.operators)
+        tree = told['tree']
+        leaf = tree['workspaces'][name]['classes']['summary']
+        leaf['max_wait_ms'] = level
+        body = orjson.dumps({'base': told['version'], 'tree': tree})
+        answer = self._cluster.operate('PUT', '/tree', body, entry.operators)
+        return answer.get('version')
+
+    async def _order(self, name: str, order: dict[str, Any]) -> None:
+        try:
+            await asyncio.to_thread(
+                self._cluster.order,
+                name,
+                order,
+                '/admin/slow',
+            )
+        except Exception:  # noqa: BLE001
+            return
+
+    async def _store(self, order: dict[str, Any]) -> None:
+        await asyncio.to_thread(
+            self._cluster.order,
+            'platform',
+            order,
+            '/admin/store',
+        )
+
+    async def _list(self, name: str, state: str) -> None:
+        await asyncio.to_thread(
+            self._cluster.order,
+            'platform',
+            [{'name': name, 'state': state}],
+            '/admin/instances',
+        )
+
+    async def _fault(self, **order: Any) -> None:
+        await asyncio.to_thread(self._cluster.fault, **order)
+
+    async def _heal(self) -> None:
+        await self._fault(kind='clear')
+        await self._store(
+            {
+                'down': False,
+                'slow_s': 0,
+                'lose_confirmations': 0,
+                'stale_reads': 0,
+            },
+        )
+
+    async def _gather_engine(self, name: str) -> None:
+        """Keep what an engine logged, before it is lost."""
+        try:
+            log = await asyncio.to_thread(self._cluster.read, name, '/log')
+        except Exception:  # noqa: BLE001
+            return
+        for request_id, tries in log.items():
+            for number, run in enumerate(tries):
+                key = (name, request_id, number, run['at'])
+                self.evidence.engine_runs[key] = run['at']
+
+    async def _gather(self) -> None:
+        for name in self._cluster.plan.engines:
+            await self._gather_engine(name)
+        for name in self._cluster.plan.services:
+            runs = await asyncio.to_thread(self._cluster.read, name, '/log')
+            self.evidence.service_runs.extend(run['body'] for run in runs)
+        entry = self._cluster.entries[min(self._up)]
+        told = await asyncio.to_thread(
+            self._cluster.operate,
+            'GET',
+            '/tree',
+            b'',
+            entry.operators,
+        )
+        self.evidence.final_tree = told['tree']
+
+
+@dataclass(slots=True)
+class Verdict:
+    """Hold what a chaos run found."""
+
+    seed: int
+    injected: dict[str, int]
+    checks: dict[str, int]
+    violations: list[str] = field(default_factory=list)
+
+
+def chaos(seed: int, minutes: float, broken: str = '') -> Verdict:
+    """Run and judge; write a trace where a promise was broken."""
+    plan = deployment(DEPLOYMENT, ENTRIES, proxied=True, broken=broken)
+    with running(plan) as cluster:
+        run = Chaos(cluster, seed, minutes * 60)
+        uvloop.run(run.run())
+    checks, violations = find_violations(run.evidence)
+    verdict = Verdict(seed, dict(run.injected), checks, violations)
+    _write_trace(run.evidence, verdict)
+    return verdict
+
+
+def show(verdict: Verdict) -> None:
+    """Print faults, checks and violations."""
+    write = sys.stdout.write
+    faults = ', '.join(
+        f'{name} {count}' for name, count in sorted(verdict.injected.items())
+    )
+    write(f'seed {verdict.seed}\nfaults: {faults}\n')
+    for name, count in verdict.checks.items():
+        write(f'checked {count:>7} {name}\n')
+    for violation in verdict.violations[:20]:
+        write(f'VIOLATION {violation}\n')
+    write(f'violations: {len(verdict.violations)}\n')
+
+
+def _write_trace(evidence: Evidence, verdict: Verdict) -> None:
+    out = BUILD / 'bench'
+    out.mkdir(parents=True, exist_ok=True)
+    document = {
+        'seed': verdict.seed,
+        'violations': verdict.violations,
+        'faults': evidence.trace,
+        'answers': [
+            {'entry': entry, **as_row(answer)}
+            for entry, _, answer in evidence.answers
+        ],
+    }
+    path = Path(out / f'chaos-{verdict.seed}.json')
+    path.write_bytes(orjson.dumps(document))
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -37,6 +37,8 @@
     :param proxied: whether entries reach each other, the platform and the
         back ends through fault-injecting proxies.
     :param flags: more flags for each entry.
+    :param source: sources of another version of the product.
+    :param broken: safeguard that the entries run without.
     """
 
     tree: Path
@@ -48,6 +50,7 @@
     proxied: bool = False
     flags: tuple[str, ...] = ()
     source: str = ''
+    broken: str = ''
 
 
 @dataclass(slots=True)
@@ -110,6 +113,13 @@
             self.wait_http(entry.callers, '/readyz')
         self.wait_members(len(self.entries))
 
+    def start_engine(self, name: str) -> None:
+        """Start an engine anew at its address."""
+        pools = _pools(self.plan.tree)['engine']
+        chosen = {'name': name, **self.plan.engines[name]}
+        chosen.setdefault('models', next(iter(pools.values()))['models'])
+        self._start_standin('engine', self.addresses[name], chosen, name)
+
     def start_entry(self, entry: Entry) -> None:
         """Start one entry instance."""
         flags = {
@@ -124,7 +134,10 @@
         }
         if entry.announced_peers:
             flags['announced-peers'] = entry.announced_peers
-        command = [sys.executable, '-m', 'siskinpass', 'serve']
+        program = ['siskinpass']
+        if self.plan.broken:
+            program = ['bench.broken', self.plan.broken]
+        command = [sys.executable, '-m', *program, 'serve']
         for flag, text in flags.items():
             command.extend((f'--{flag}', text))
         command.extend(self.plan.flags)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,7 +2,7 @@
 
 The object store keeps versioned values up to a megabyte, with conditional
 updates and watches; it counts each call, limits the rates, and on order is
-down, slow, or loses the confirmation of a write that took effect.
+down, slow, reads stale, or loses the confirmation of a write that took effect.
 """
 
 import asyncio
@@ -73,6 +73,8 @@
         self.down = False
         self.slow_s = 0.0
         self.lose_confirmations = 0
+        self.stale_reads = 0
+        self._earlier: dict[str, tuple[int, bytes]] = {}
 
     async def __call__(self, request: Request) -> Response:
         """Answer one call."""
@@ -102,6 +104,9 @@
         if key not in self._objects:
             return json_response({'error': 'no such object'}, 404)
         version, body = self._objects[key]
+        if self.stale_reads > 0 and key in self._earlier:
+            self.stale_reads -= 1
+            version, body = self._earlier[key]
         return Response(200, body, {'ETag': str(version)})
 
     def _list(self, prefix: str) -> Response:
@@ -134,6 +139,8 @@
             self._objects.pop(key, None)
         else:
             self._version += 1
+            if key in self._objects:
+                self._earlier[key] = self._objects[key]
             self._objects[key] = (self._version, request.body)
         async with self._changed:
             self._changed.notify_all()
@@ -212,6 +219,7 @@
         store = self._store
         store.down = bool(order.get('down', store.down))
         store.slow_s = float(order.get('slow_s', store.slow_s))
+        store.stale_reads = int(order.get('stale_reads', store.stale_reads))
         store.lose_confirmations = int(
             order.get('lose_confirmations', store.lose_confirmations),
         )
