--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -130,6 +130,8 @@
             self._leave_engine,
             self._cross_engine,
             self._cut_connections,
+            self._cut_services,
+            self._cut_services,
             self._silence_connections,
             self._lose_one_way,
             self._store_down,
@@ -139,9 +141,13 @@
             self._edit_tree,
             self._edit_tree,
         ]
+        deck: list[Callable[[], Awaitable[None]]] = []
         running_faults: set[asyncio.Task] = set()
         while time.monotonic() - start_s < self._seconds - QUIET_S:
-            fault = self._chance.choice(faults)
+            if not deck:
+                # Each kind comes once before any comes again.
+                deck = self._chance.sample(faults, len(faults))
+            fault = deck.pop()
             self.injected[fault.__name__.strip('_')] += 1
             self.evidence.trace.append(
                 (time.monotonic() - start_s, fault.__name__),
@@ -242,6 +248,10 @@
     async def _cut_connections(self) -> None:
         await self._fault(kind='cut', name=self._proxied())
 
+    async def _cut_services(self) -> None:
+        for name in self._cluster.plan.services:
+            await self._fault(kind='cut', name=name)
+
     async def _silence_connections(self) -> None:
         await self._fault(kind='silence', name=self._proxied())
 
