--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 
 from cyclopts import App
 
-from bench import chaos, experiment, overhead
+from bench import capacity, capacity_page, chaos, experiment, overhead, report
 from bench.demo import demo
 
 app = App(name='bench', help='Drive real processes and measure them.')
@@ -51,4 +51,18 @@
     sys.exit(1 if verdict.violations else 0)
 
 
+@app.command(name='capacity')
+def capacity_command(*, page_only: bool = False) -> None:
+    """Measure the slopes and write the capacity page."""
+    if not page_only:
+        capacity.measure()
+    capacity_page.write()
+
+
+@app.command(name='report')
+def report_command() -> None:
+    """Draw and list the runs in build/bench."""
+    sys.stdout.write(f'{report.report()}\n')
+
+
 app()
--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -14,9 +14,10 @@
 import orjson
 import uvloop
 
-from bench.chaos_checks import Evidence, find_violations
+from bench.chaos_checks import Evidence, find_violations, memory_growth
 from bench.cluster import BUILD, Cluster, Entry, deployment, running
 from bench.load import Answer, Job, Target, as_row, send
+from bench.overhead import usage
 
 ENTRIES = 8
 DEPLOYMENT = 'fieltro-lanera'
@@ -119,6 +120,9 @@
                 self.evidence.versions.append(
                     (entry.name, pid, status['version']),
                 )
+                self.evidence.memory.setdefault((entry.name, pid), []).append(
+                    usage(pid).rss_kb,
+                )
 
     async def _break(self, start_s: float) -> None:
         faults: list[Callable[[], Awaitable[None]]] = [
@@ -398,6 +402,7 @@
     injected: dict[str, int]
     checks: dict[str, int]
     violations: list[str] = field(default_factory=list)
+    memory: str = ''
 
 
 def chaos(seed: int, minutes: float, broken: str = '') -> Verdict:
@@ -414,7 +419,8 @@
         run = Chaos(cluster, seed, minutes * 60)
         uvloop.run(run.run())
     checks, violations = find_violations(run.evidence)
-    verdict = Verdict(seed, dict(run.injected), checks, violations)
+    growth = memory_growth(run.evidence)
+    verdict = Verdict(seed, dict(run.injected), checks, violations, growth)
     _write_trace(run.evidence, verdict)
     return verdict
 
@@ -428,6 +434,7 @@
     write(f'seed {verdict.seed}\nfaults: {faults}\n')
     for name, count in verdict.checks.items():
         write(f'checked {count:>7} {name}\n')
+    write(f'{verdict.memory}\n')
     for violation in verdict.violations[:20]:
         write(f'VIOLATION {violation}\n')
     write(f'violations: {len(verdict.violations)}\n')
--- a/bench/chaos_checks.py
+++ b/bench/chaos_checks.py
@@ -1,5 +1,6 @@
 """Judge the evidence of a chaos run."""
 
+import statistics
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -37,6 +38,7 @@
     service_runs: list[str] = field(default_factory=list)
     final_tree: dict[str, Any] = field(default_factory=dict)
     trace: list[tuple[float, str]] = field(default_factory=list)
+    memory: dict[tuple[str, int], list[int]] = field(default_factory=dict)
 
     def is_leaving(self, name: str) -> bool:
         """Tell whether an engine is leaving now."""
@@ -148,3 +150,17 @@
         ]
         found.extend(f'{name} got {key[1]} after leaving' for key in late)
     return found
+
+
+def memory_growth(evidence: Evidence) -> str:
+    """Tell the memory of the longest-lived process, early and late."""
+    longest = max(evidence.memory.values(), key=len, default=[])
+    third = len(longest) // 3
+    if not third:
+        return 'memory: too few samples'
+    early = statistics.median(longest[third : 2 * third]) / 1024
+    late = statistics.median(longest[-third:]) / 1024
+    return (
+        f'memory of the longest-lived process over {len(longest)} samples: '
+        f'middle third {early:.1f} MB, last third {late:.1f} MB'
+    )
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -26,6 +26,10 @@
 POLL_S = 0.05
 BUILD = Path('build')
 UDP = socket.SOCK_DGRAM
+# Each driver has loopback addresses of its own, so that one never takes a port
+# that another's restarting process has just left.
+NETWORK = f'127.{10 + os.getpid() % 200}.{os.getpid() // 200 % 250}'
+HOST = f'{NETWORK}.1'
 PORT_LEAST = 12_000
 PORT_MOST = 32_000
 _PORTS = itertools.cycle(
@@ -288,7 +292,7 @@
     def _plan_entry(self, number: int) -> Entry:
         zones = self.plan.zones
         name = f'entry-{number + 1}'
-        host = f'127.0.1.{number + 1}' if self.plan.proxied else '127.0.0.1'
+        host = f'{NETWORK}.{number + 2}' if self.plan.proxied else HOST
         peers = free_address(host)
         announced = ''
         if self.plan.proxied:
@@ -395,7 +399,7 @@
     return replace(plan, **changes)
 
 
-def free_address(host: str = '127.0.0.1') -> str:
+def free_address(host: str = HOST) -> str:
     """Return an address that nothing listens on.
 
     It lies below the ports that the kernel gives to outgoing connections, so
--- a/bench/load.py
+++ b/bench/load.py
@@ -48,6 +48,7 @@
     fault: str = ''
     request_id: str = ''
     retry_after_ms: int = 0
+    address: str = ''
 
     @property
     def whole(self) -> bool:
@@ -203,6 +204,7 @@
     answer.ran = headers.get('x-siskinpass-ran', '')
     answer.request_id = headers.get('x-request-id', '')
     answer.retry_after_ms = int(headers.get('retry-after-ms', 0))
+    answer.address = headers.get('x-siskinpass-address', '')
     body = bytes(exchange.body)
     if b'event: error\n' in body:
         tail = body.rsplit(b'event: error\ndata: ', 1)[1]
--- a/src/siskinpass/exceptions.py
+++ b/src/siskinpass/exceptions.py
@@ -9,6 +9,7 @@
     :param code: the numbered result code.
     :param detail: what was wrong, for the log and the caller.
     :param retry_after_ms: when to try again, 0 where that does not help.
+    :param address: another instance to use, empty where that does not help.
     """
 
     def __init__(
@@ -16,11 +17,13 @@
         code: Code,
         detail: str = '',
         retry_after_ms: int = 0,
+        address: str = '',
     ) -> None:
         """Keep the code beside the text."""
         super().__init__(detail or MEANINGS[code].text)
         self.code = code
         self.retry_after_ms = retry_after_ms
+        self.address = address
 
 
 class RequestError(SiskinpassError):
--- a/src/siskinpass/process/addresses.py
+++ b/src/siskinpass/process/addresses.py
@@ -34,6 +34,11 @@
     return _spread(found)[:ADDRESSES_TOLD]
 
 
+def first_address(found: Iterable[Address]) -> str:
+    """Return the best address, empty where there is none."""
+    return next((address.address for address in found), '')
+
+
 def _spread(found: list[Address]) -> list[Address]:
     """Put one instance of each zone before a second of any."""
     seen: dict[str, int] = {}
--- a/src/siskinpass/process/node.py
+++ b/src/siskinpass/process/node.py
@@ -13,7 +13,11 @@
 from siskinpass.codes import Code
 from siskinpass.connection.backend import BackendPool
 from siskinpass.process import peer_pb2 as pb
-from siskinpass.process.addresses import Address, choose_addresses
+from siskinpass.process.addresses import (
+    Address,
+    choose_addresses,
+    first_address,
+)
 from siskinpass.process.broker import BrokerPolicy
 from siskinpass.process.claims import Claims
 from siskinpass.process.counts import CountBook
@@ -145,6 +149,7 @@
                 self.metrics_book,
                 self._address_of,
                 settings.decisions not in {LEAST_OUTSTANDING, FIFO_RANDOM},
+                lambda: first_address(self.addresses(settings.zone)),
             ),
         )
         self._lease = LeaseKeeper(
--- a/src/siskinpass/process/relay.py
+++ b/src/siskinpass/process/relay.py
@@ -48,6 +48,7 @@
     metrics: Metrics
     address_of: Callable[[str], str]
     tells_priority: bool
+    other_address: Callable[[], str]
 
 
 class Relay:
@@ -116,6 +117,7 @@
                 Code.instance_leaving,
                 '',
                 LEAVING_RETRY_MS,
+                self._parts.other_address(),
             )
         version = self._parts.book.current
         if version is None:
@@ -235,6 +237,7 @@
             str(error),
             error.retry_after_ms,
             ran=ran,
+            address=error.address,
         )
         caller.write(wire)
         caller.finish(keep_alive=False)
--- a/src/siskinpass/request/answer.py
+++ b/src/siskinpass/request/answer.py
@@ -42,12 +42,15 @@
     retry_after_ms: int = 0,
     *,
     ran: Ran | None = None,
-    keep_alive: bool = False,
+    address: str = '',
 ) -> bytes:
     """Return a numbered error as it goes over the wire.
 
+    The connection is closed after it.
+
     :param retry_after_ms: when to come back, 0 where that does not help.
     :param ran: goes before what the table of codes says.
+    :param address: another instance to use, empty for none.
     """
     meaning = MEANINGS[code]
     headers = {
@@ -58,8 +61,10 @@
         seconds = -(-retry_after_ms // MS_PER_S)
         headers['Retry-After'] = str(seconds)
         headers['Retry-After-Ms'] = str(retry_after_ms)
+    if address:
+        headers['X-Siskinpass-Address'] = address
     body = error_body(code, detail, retry_after_ms, ran)
-    return whole_answer(meaning.status, body, headers, keep_alive=keep_alive)
+    return whole_answer(meaning.status, body, headers, keep_alive=False)
 
 
 def whole_answer(
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -332,6 +332,7 @@
             'a refusal',
         )
         assert (refused[0].ran, refused[0].retry_after_ms > 0) == ('no', True)
+        assert refused[0].address in {entry.callers for entry in others}
         assert {answer.fault for answer in wait()} == {''}
         assert first.process.wait(30) == 0
 
--- /dev/null
+++ b/tests/test_readme.py
@@ -0,0 +1,19 @@
+"""Test that the examples in the docs run."""
+
+import doctest
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+
+
+class TestReadme:
+    """Test the README."""
+
+    def test_examples_run(self):
+        """What the README shows is what happens."""
+        found = doctest.testfile(
+            str(ROOT / 'README.md'),
+            module_relative=False,
+        )
+        assert found.attempted >= 6
+        assert found.failed == 0
