Notice a broker session that is silent one way

Cause: with the proxies' faults applied to TCP too (an instance now dials from its own address), a request waited 180 s without an end. Bytes from entry to broker vanished while the broker's heartbeats still came, so the entry took the session for alive and its ticket was never heard. Change: each batch of an entry is numbered, the broker tells the latest number that it heard, and a batch unheard for 0.45 s ends the session; a broker gives up a session after 2 s without a batch. Before: test_entry_is_cut_off_from_one_peer red, 1 of 40 requests without an end. After: green, 5 of 5 tests of instances. Conclusion: liveness is told by what was heard, not by what was sent.

--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -132,6 +132,7 @@
             self._crash_engine,
             self._slow_engine,
             self._leave_engine,
+            self._leave_engine,
             self._cross_engine,
             self._cut_connections,
             self._cut_services,
@@ -244,7 +245,7 @@
         window = [name, start_s, float('inf')]
         self.evidence.leaving.append(window)
         await self._list(name, 'leaving')
-        await asyncio.sleep(self._chance.uniform(4, 7))
+        await asyncio.sleep(self._chance.uniform(6, 9))
         window[2] = time.time()
         await self._gather_engine(name)
         await self._list(name, 'live')
@@ -291,7 +292,9 @@
         await self._store({'lose_confirmations': 3})
 
     async def _stale_reads(self) -> None:
-        await self._store({'stale_reads': 6, 'stale_key': 'tree/head'})
+        await self._store({'stale_reads': 10**6, 'stale_key': 'tree/head'})
+        await asyncio.sleep(self._chance.uniform(2, 4))
+        await self._store({'stale_reads': 0})
 
     async def _edit_tree(self) -> None:
         """Let two operators edit at once, at two instances."""
--- a/src/siskinpass/process/peers.py
+++ b/src/siskinpass/process/peers.py
@@ -6,7 +6,9 @@
 
 import asyncio
 import hmac
+import itertools
 import ssl
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -19,6 +21,7 @@
     ProtocolError,
     StreamTerminatedError,
 )
+from grpclib.protocol import H2Protocol
 from grpclib.server import Server, Stream
 
 from siskinpass.process import peer_pb2 as pb
@@ -29,12 +32,13 @@
     encode_event,
 )
 from siskinpass.process.desk import Desk, Port
-from siskinpass.process.hosting import BrokerHost
+from siskinpass.process.hosting import BrokerHost, Session
 from siskinpass.process.peer_grpc import PeerBase, PeerStub
 from siskinpass.request.ticket import Command, Event
 
 HEARTBEAT_S = 0.15
 SILENT_S = 0.45
+ENTRY_SILENT_S = 2.0
 CALL_TIMEOUT_S = 2.0
 KEY_HEADER = 'x-siskinpass-peer-key'
 MESSAGES_WAITING_MOST = 20_000
@@ -95,7 +99,7 @@
         session = self._host.open(first.group, first.entry, outbox.put)
         sender = asyncio.ensure_future(_send_commands(stream, outbox))
         try:
-            await self._receive(stream, session, first)
+            await self._receive(stream, session, first, outbox)
         finally:
             sender.cancel()
             session.close()
@@ -120,16 +124,27 @@
         reply = self._state.counts_after(request.after_second)
         await stream.send_message(reply)
 
-    async def _receive(self, stream: Stream, session, first) -> None:
+    async def _receive(
+        self,
+        stream: Stream,
+        session: Session,
+        first: pb.EntryBatch,
+        outbox: '_Outbox',
+    ) -> None:
         loop = asyncio.get_running_loop()
         batch = first
         while batch is not None:
             now_s = loop.time()
+            outbox.heard = batch.sequence
             session.tell([
                 decode_event(message, session.entry, now_s)
                 for message in batch.messages
             ])
-            batch = await stream.recv_message()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(ENTRY_SILENT_S):
+                    batch = await stream.recv_message()
+                    continue
+            return
 
     def _check_key(self, stream: Stream) -> None:
         told = str(stream.metadata.get(KEY_HEADER, ''))
@@ -143,6 +158,7 @@
     def __init__(self) -> None:
         self._waiting: list = []
         self._filled = asyncio.Event()
+        self.heard = 0
 
     def put(self, messages: list) -> None:
         """Add messages."""
@@ -166,6 +182,7 @@
             await stream.send_message(
                 pb.BrokerBatch(
                     messages=[encode_command(command) for command in commands],
+                    heard=outbox.heard,
                 ),
             )
 
@@ -186,6 +203,7 @@
         self._desk = desk
         self._on_lost = on_lost
         self._outbox = _Outbox()
+        self._unheard: deque[tuple[int, float]] = deque()
         self._task = asyncio.ensure_future(self._run())
 
     def send(self, events: list[Event]) -> None:
@@ -211,9 +229,10 @@
     async def _send(self, stream) -> None:
         loop = asyncio.get_running_loop()
         with suppress(*STREAM_ERRORS):
-            while True:
+            for sequence in itertools.count(1):
                 events = await self._outbox.take()
                 now_s = loop.time()
+                self._unheard.append((sequence, now_s))
                 await stream.send_message(
                     pb.EntryBatch(
                         entry=self._own,
@@ -221,6 +240,7 @@
                         messages=[
                             encode_event(event, now_s) for event in events
                         ],
+                        sequence=sequence,
                     ),
                 )
 
@@ -228,7 +248,7 @@
         while True:
             async with asyncio.timeout(SILENT_S):
                 batch = await stream.recv_message()
-            if batch is None:
+            if batch is None or not self._is_heard(batch.heard):
                 return
             if batch.messages:
                 self._desk.take(
@@ -239,6 +259,19 @@
                     ],
                 )
 
+    def _is_heard(self, sequence: int) -> bool:
+        """Tell whether the broker still hears this entry.
+
+        A connection can go silent one way; what the broker sends proves
+        nothing of what it receives.
+        """
+        while self._unheard and self._unheard[0][0] <= sequence:
+            self._unheard.popleft()
+        if not self._unheard:
+            return True
+        waited_s = asyncio.get_running_loop().time() - self._unheard[0][1]
+        return waited_s < SILENT_S
+
 
 class PeerLinks:
     """Own the channels to other instances."""
@@ -287,6 +320,7 @@
                 ssl=self._security.client,
             )
             channel.key = self._security.key
+            channel.local_host = self._local_host
             self._channels[name] = channel
         return PeerStub(channel)
 
@@ -303,9 +337,21 @@
 
 
 class _KeyedChannel(Channel):
-    """Show the peer key on every call."""
+    """Show the peer key on every call, from this instance's own address."""
 
     key = ''
+    local_host = ''
+
+    async def _create_connection(self) -> H2Protocol:
+        _, protocol = await self._loop.create_connection(
+            self._protocol_factory,
+            self._host,
+            self._port,
+            ssl=self._ssl,
+            server_hostname=self._host if self._ssl else None,
+            local_addr=(self.local_host, 0),
+        )
+        return protocol
 
     def request(self, *args, metadata=None, **kwargs):
         """Open a call with the key among its metadata."""
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -294,6 +294,7 @@
 
     def test_entry_is_cut_off_from_one_peer(self, healed):
         """One-way loss between two instances loses no request."""
+        ask([counter()], target(healed))
         broker = broker_entry(healed)
         other = next(one for one in healed.entries if one is not broker)
         source = other.peers.rsplit(':', 1)[0]
