--- a/src/siskinpass/process/engines.py
+++ b/src/siskinpass/process/engines.py
@@ -10,9 +10,9 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from siskinpass.process.lease_keeper import LeaseKeeper
 from siskinpass.process.logs import PartLog
 from siskinpass.process.orders import EngineReport, Order, OrderPlan
-from siskinpass.process.status import LeaseKeeper
 from siskinpass.request.ticket import ServerView
 from siskinpass.version.book import VersionBook
 
--- a/src/siskinpass/process/node.py
+++ b/src/siskinpass/process/node.py
@@ -27,14 +27,14 @@
 from siskinpass.process.front import Front
 from siskinpass.process.gossip import Gossip
 from siskinpass.process.hosting import FALLBACK, BrokerHost
+from siskinpass.process.lease_keeper import LEASE, LeaseKeeper
 from siskinpass.process.logs import PartLog
 from siskinpass.process.membership import Member, Membership, MembershipPolicy
 from siskinpass.process.metrics import Metrics
 from siskinpass.process.overview import describe_brokers, describe_versions
+from siskinpass.process.peer_server import PeerService, start_peer_server
 from siskinpass.process.peers import (
     PeerLinks,
-    PeerService,
-    start_peer_server,
 )
 from siskinpass.process.policies import broker_policy
 from siskinpass.process.relay import Relay, RelayParts
@@ -46,8 +46,6 @@
     load_peer_security,
 )
 from siskinpass.process.status import (
-    LEASE,
-    LeaseKeeper,
     StatusKeeper,
     StatusParts,
     encode_after,
--- /dev/null
+++ b/src/siskinpass/process/remote_port.py
@@ -0,0 +1,106 @@
+"""Speak to a broker at another instance over grpclib.
+
+A broker session is one stream each way. Both sides send at least a heartbeat,
+so that a silent connection is noticed.
+"""
+
+import asyncio
+import itertools
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+
+from siskinpass.process import peer_pb2 as pb
+from siskinpass.process.codec import decode_command, encode_event
+from siskinpass.process.desk import Desk, Port
+from siskinpass.process.peer_grpc import PeerStub
+from siskinpass.process.session_wire import STREAM_ERRORS, Outbox
+from siskinpass.request.ticket import Event
+
+SILENT_S = 0.45
+
+
+class RemotePort:
+    """Speak to a broker at another instance."""
+
+    def __init__(
+        self,
+        stub: PeerStub,
+        own: str,
+        desk: Desk,
+        on_lost: Callable[[Port], None],
+    ) -> None:
+        """Start the session; it reports its own end once."""
+        self._stub = stub
+        self._own = own
+        self._desk = desk
+        self._on_lost = on_lost
+        self._outbox = Outbox()
+        self._unheard: deque[tuple[int, float]] = deque()
+        self._task = asyncio.ensure_future(self._run())
+
+    def send(self, events: list[Event]) -> None:
+        """Send events in order."""
+        self._outbox.put(events)
+
+    def close(self) -> None:
+        """End the session."""
+        self._task.cancel()
+
+    async def _run(self) -> None:
+        with suppress(*STREAM_ERRORS):
+            async with self._stub.Tickets.open() as stream:
+                await stream.send_request()
+                sender = asyncio.ensure_future(self._send(stream))
+                try:
+                    await self._receive(stream)
+                finally:
+                    sender.cancel()
+                    await stream.cancel()
+        self._on_lost(self)
+
+    async def _send(self, stream) -> None:
+        loop = asyncio.get_running_loop()
+        with suppress(*STREAM_ERRORS):
+            for sequence in itertools.count(1):
+                events = await self._outbox.take()
+                now_s = loop.time()
+                self._unheard.append((sequence, now_s))
+                await stream.send_message(
+                    pb.EntryBatch(
+                        entry=self._own,
+                        group=self._desk.group,
+                        messages=[
+                            encode_event(event, now_s) for event in events
+                        ],
+                        sequence=sequence,
+                    ),
+                )
+
+    async def _receive(self, stream) -> None:
+        while True:
+            async with asyncio.timeout(SILENT_S):
+                batch = await stream.recv_message()
+            if batch is None or not self._is_heard(batch.heard):
+                return
+            if batch.messages:
+                self._desk.take(
+                    self,
+                    [
+                        decode_command(message, self._own)
+                        for message in batch.messages
+                    ],
+                )
+
+    def _is_heard(self, sequence: int) -> bool:
+        """Tell whether the broker still hears this entry.
+
+        A connection can go silent one way; what the broker sends proves
+        nothing of what it receives.
+        """
+        while self._unheard and self._unheard[0][0] <= sequence:
+            self._unheard.popleft()
+        if not self._unheard:
+            return True
+        waited_s = asyncio.get_running_loop().time() - self._unheard[0][1]
+        return waited_s < SILENT_S
--- a/src/siskinpass/process/status.py
+++ b/src/siskinpass/process/status.py
@@ -25,7 +25,7 @@
     PromiseState,
 )
 from siskinpass.process.counts import CountBook, Tally, merge
-from siskinpass.process.lease import LeaseLogic, LeaseRecord
+from siskinpass.process.lease_keeper import LeaseKeeper
 from siskinpass.process.logs import PartLog
 from siskinpass.process.membership import Member
 from siskinpass.process.peers import PeerLinks
@@ -33,12 +33,9 @@
 from siskinpass.process.treewatch import PEER_ERRORS
 from siskinpass.version.book import VersionBook
 
-LEASE = 'leases/status'
 STATUS = 'status/promises'
-LEASE_S = 6.0
-MARGIN_S = 1.5
 EVERY_S = 1.0
-LEASE_EVERY_S = 2.0
+READ_EVERY_S = 2.0
 CALL_TIMEOUT_S = 0.8
 ALARMS_KEPT = 200
 MEDIAN = 0.5
@@ -55,55 +52,6 @@
     at: float
 
 
-class LeaseKeeper:
-    """Keep trying for one lease in the object store."""
-
-    def __init__(self, store: Store, key: str, own: str) -> None:
-        """Start without the lease."""
-        self._store = store
-        self._key = key
-        self._logic = LeaseLogic(own, LEASE_S, MARGIN_S)
-        self._loop = asyncio.get_running_loop()
-        self._log = PartLog('lease')
-
-    @property
-    def fence(self) -> int | None:
-        """Return the fencing number while the lease is held."""
-        return self._logic.fence(self._loop.time())
-
-    async def run(self) -> None:
-        """Take, renew or wait for the lease for ever."""
-        while True:
-            try:
-                await self._step()
-            except StoreError:
-                self._logic.failed()
-            await asyncio.sleep(LEASE_EVERY_S)
-
-    async def _step(self) -> None:
-        held = self.fence is not None
-        if not held:
-            stored = await self._store.read(self._key)
-            record = LeaseRecord.load(stored.body) if stored else None
-            version = stored.version if stored else 0
-            self._logic.observe(record, version, self._loop.time())
-        write = self._logic.next_write(self._loop.time())
-        if write is None:
-            return
-        body = write.record.dump()
-        if write.version == 0:
-            version = await self._store.create(self._key, body)
-        else:
-            version = await self._store.replace(
-                self._key,
-                body,
-                write.version,
-            )
-        self._logic.written(write, version)
-        if not held:
-            self._log.note('Took a lease.', fence=write.record.fence)
-
-
 @dataclass(frozen=True, slots=True)
 class StatusParts:
     """Hold what the status is made from.
@@ -293,7 +241,7 @@
             self._log.warn('Another instance wrote the status.')
 
     async def _read(self) -> None:
-        if self._loop.time() - self._read_at_s < LEASE_EVERY_S:
+        if self._loop.time() - self._read_at_s < READ_EVERY_S:
             return
         self._read_at_s = self._loop.time()
         stored = await self._store.read(STATUS)
