Keep the capacity run's tickets within what the wire can carry

Cause: a patience of 1e9 s does not fit the message; the sender ended unseen and the run hung. The tree bounds it to an hour, so a daemon cannot meet this. Change: 3,600 s in the bench. Before: hangs.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -165,8 +165,8 @@
         f'w/c{tier}',
         tier,
         now_s,
-        1e6,
-        1e9,
+        600.0,
+        3600.0,
         share=0.05,
         pausable=False,
     )
