--- a/src/siskinpass/codes.py
+++ b/src/siskinpass/codes.py
@@ -68,6 +68,7 @@
     retry_broker_changed = 4007
     retry_answer_crossed = 4008
     retry_backend_slow = 4009
+    retry_backend_failed = 4010
 
     tree_invalid = 5001
     tree_conflict = 5002
@@ -76,6 +77,7 @@
     operator_key_wrong = 5005
     unknown_node = 5006
     unknown_version = 5007
+    document_wrong = 5008
 
     setting_wrong = 6001
 
@@ -177,6 +179,7 @@
     Code.retry_broker_changed: _retry('The ticket moved to another broker.'),
     Code.retry_answer_crossed: _retry('The answer was for another request.'),
     Code.retry_backend_slow: _retry('The backend server became slow.'),
+    Code.retry_backend_failed: _retry('The backend server failed.'),
     Code.tree_invalid: _wrong(422, 'The tree has faults.'),
     Code.tree_conflict: _wrong(409, 'Another edit changed the same node.'),
     Code.store_down: _refused('The object store does not answer.'),
@@ -188,5 +191,6 @@
     Code.operator_key_wrong: _wrong(401, 'The operator key is wrong.'),
     Code.unknown_node: _wrong(404, 'The tree has no such node.'),
     Code.unknown_version: _wrong(404, 'The tree has no such version.'),
+    Code.document_wrong: _wrong(0, 'A document cannot be read.'),
     Code.setting_wrong: _wrong(0, 'A process setting is wrong.'),
 })
--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -1,27 +1,37 @@
 """Own one connection to a backend server."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from typing import Protocol
 
 import httptools
 
 from siskinpass.codes import Code
-from siskinpass.connection.sockets import tune_socket
+from siskinpass.connection.sockets import SocketTimes, tune_socket
 from siskinpass.exceptions import BackendError, ConnectError
+from siskinpass.request.inbound import Header
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_KEPT_S = 8.0
 IDLE_KEPT_MOST = 64
 STATUS_OK = 200
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
+# A backend server that acknowledges nothing for as long as callers wait for
+# the next event of a stream is as good as gone.
+BACKEND_TIMES = SocketTimes(idle_s=2, every_s=1, probes=2, user_ms=3000)
 
 
 class AnswerSink(Protocol):
     """Take in the answer of a backend server."""
 
-    def take_head(self, status: int, headers: dict[str, str]) -> None:
-        """Take in status and headers, names in lower case."""
+    def take_head(self, status: int, headers: tuple[Header, ...]) -> bool:
+        """Take in status and headers as they were spelled.
+
+        :returns: whether the answer is for this sink; another one is skipped.
+        """
 
     def take_piece(self, piece: bytes) -> None:
         """Take in a piece of the body."""
@@ -36,16 +46,27 @@
 class BackendConnection(asyncio.Protocol):
     """Send one request at a time and pass its answer to a sink."""
 
-    def __init__(self, keep: Callable[['BackendConnection'], None]) -> None:
+    def __init__(
+        self,
+        keep: Callable[['BackendConnection'], None],
+        forget: Callable[['BackendConnection'], None],
+    ) -> None:
         """Wait for the connection.
 
         :param keep: takes the connection back after a whole answer.
+        :param forget: told that the connection is closed.
         """
         self._keep = keep
+        self._forget = forget
         self._sink: AnswerSink | None = None
-        self._headers: dict[str, str] = {}
+        self._headers: list[Header] = []
         self._parser = httptools.HttpResponseParser(self)
-        self.idle_since_s = 0.0
+        self._is_skipping = False
+        self._is_spoiled = False
+        self._ends_at_close = False
+        self._is_reusable = False
+        self.idle_until_s = 0.0
+        self.idle_s = IDLE_KEPT_S
 
     @property
     def is_open(self) -> bool:
@@ -55,26 +76,36 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport = transport
-        tune_socket(transport)
+        tune_socket(transport, BACKEND_TIMES)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the sink that the answer broke off."""
+        self._forget(self)
         self._fail(BackendError(Code.stream_cut, str(exc or '')))
 
+    def eof_received(self) -> bool:
+        """End an answer that only the connection's end delimits."""
+        if self._ends_at_close:
+            self._end()
+        return False
+
     def data_received(self, piece: bytes) -> None:
-        """Parse what came."""
+        """Parse what came; bytes beyond an answer belong to no request."""
         if self._sink is None:
             self._transport.abort()
             return
         try:
             self._parser.feed_data(piece)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(BackendError(Code.backend_error, str(error)))
             self._transport.abort()
+            return
+        self._settle()
 
     def send(self, request: bytes, sink: AnswerSink) -> None:
         """Send a request whose answer goes to a sink."""
         self._sink = sink
+        self._is_reusable = False
         self._transport.write(request)
 
     def cancel(self) -> None:
@@ -91,46 +122,97 @@
         else:
             self._transport.pause_reading()
 
+    def on_message_begin(self) -> None:
+        """Note an answer that no request waits for."""
+        self._headers = []
+        if self._sink is None:
+            self._is_spoiled = True
+
     def on_header(self, name: bytes, text: bytes) -> None:
         """Note one header."""
-        self._headers[name.decode('latin-1').lower()] = text.decode('latin-1')
+        self._headers.append((name, text))
 
     def on_headers_complete(self) -> None:
         """Pass the head on."""
-        if self._sink is not None:
-            status = self._parser.get_status_code()
-            self._sink.take_head(status, self._headers)
+        status = self._parser.get_status_code()
+        if self._sink is None or status < STATUS_OK:
+            return
+        headers = tuple(self._headers)
+        self._ends_at_close = _ends_at_close(status, headers)
+        self._is_skipping = not self._sink.take_head(status, headers)
 
     def on_body(self, piece: bytes) -> None:
         """Pass a piece on."""
-        if self._sink is not None:
+        if self._sink is not None and not self._is_skipping:
             self._sink.take_piece(piece)
 
     def on_message_complete(self) -> None:
-        """Pass the end on and take the connection back."""
+        """Pass the end on."""
+        if self._parser.get_status_code() < STATUS_OK:
+            return
+        self._is_reusable = self._parser.should_keep_alive()
+        if not self._is_skipping:
+            self._end()
+        self._is_skipping = False
+
+    def _end(self) -> None:
         sink, self._sink = self._sink, None
-        keep_alive = self._parser.should_keep_alive()
-        self._headers = {}
-        if keep_alive:
-            self._keep(self)
-        else:
-            self._transport.close()
         if sink is not None:
             sink.take_end()
 
+    def _settle(self) -> None:
+        """Give the connection back once an answer is whole."""
+        if self._sink is not None:
+            return
+        if self._is_spoiled or not self._is_reusable:
+            self._transport.abort()
+        elif self.is_open:
+            self._keep(self)
+
     def _fail(self, error: BackendError) -> None:
         sink, self._sink = self._sink, None
         if sink is not None:
             sink.take_failure(error)
 
 
+def _ends_at_close(status: int, headers: tuple[Header, ...]) -> bool:
+    if status in STATUSES_WITHOUT_BODY:
+        return False
+    names = {name.lower() for name, _ in headers}
+    return not names & {b'content-length', b'transfer-encoding'}
+
+
+@dataclass(frozen=True, slots=True)
+class PoolPolicy:
+    """Bound the connections of a pool.
+
+    :param connect_s: longest time to open one.
+    :param idle_s: time that an idle one is kept unless its server says less.
+    :param idle_most: idle ones kept for each server.
+    """
+
+    connect_s: float = CONNECT_TIMEOUT_S
+    idle_s: float = IDLE_KEPT_S
+    idle_most: int = IDLE_KEPT_MOST
+
+
 class BackendPool:
     """Keep idle connections to backend servers."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        policy: PoolPolicy | None = None,
+    ) -> None:
         """Start without connections."""
         self._loop = loop
+        self._policy = policy or PoolPolicy()
         self._idle: dict[str, list[BackendConnection]] = {}
+        self._open: Counter[str] = Counter()
+
+    def open_to(self, address: str) -> int:
+        """Return how many connections to an address are open."""
+        return self._open[address]
 
     async def connect(self, address: str, *, fresh: bool) -> BackendConnection:
         """Return a connection, an idle one unless a fresh one is asked for.
@@ -142,17 +224,25 @@
             return kept
         host, port = address.rsplit(':', 1)
         opening = self._loop.create_connection(
-            partial(BackendConnection, partial(self._keep, address)),
+            partial(
+                BackendConnection,
+                partial(self._keep, address),
+                partial(self._note_closed, address),
+            ),
             host,
             int(port),
         )
         try:
-            _, connection = await asyncio.wait_for(opening, CONNECT_TIMEOUT_S)
+            _, connection = await asyncio.wait_for(
+                opening,
+                self._policy.connect_s,
+            )
         except (OSError, TimeoutError) as error:
             raise ConnectError(
                 Code.backend_unreachable,
                 str(error),
             ) from error
+        self._open[address] += 1
         return connection
 
     def forget(self, address: str) -> None:
@@ -162,18 +252,24 @@
 
     def _pop_idle(self, address: str) -> BackendConnection | None:
         kept = self._idle.get(address, [])
-        oldest_s = self._loop.time() - IDLE_KEPT_S
         while kept:
             connection = kept.pop()
-            if connection.is_open and connection.idle_since_s > oldest_s:
+            if connection.is_open and connection.idle_until_s > self._loop.time():
                 return connection
             connection.cancel()
         return None
 
     def _keep(self, address: str, connection: BackendConnection) -> None:
         kept = self._idle.setdefault(address, [])
-        if len(kept) >= IDLE_KEPT_MOST:
+        if len(kept) >= self._policy.idle_most:
             connection.cancel()
             return
-        connection.idle_since_s = self._loop.time()
+        idle_s = min(self._policy.idle_s, connection.idle_s)
+        connection.idle_until_s = self._loop.time() + idle_s
         kept.append(connection)
+
+    def _note_closed(self, address: str, connection: BackendConnection) -> None:
+        self._open[address] -= 1
+        kept = self._idle.get(address, [])
+        if connection in kept:
+            kept.remove(connection)
--- /dev/null
+++ b/src/siskinpass/connection/http_caller.py
@@ -0,0 +1,271 @@
+"""Own one HTTP connection of a caller."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Protocol
+
+import httptools
+
+from siskinpass.codes import MEANINGS, Code
+from siskinpass.connection.deadline import Deadline
+from siskinpass.connection.sockets import tune_socket
+from siskinpass.request.inbound import Header, WireRequest
+from siskinpass.version.routes import CallerLimits
+
+PIPELINED_MOST = 16  # requests that wait behind the one in progress
+WRITE_BYTES_HIGH = 262_144
+WRITE_TIMEOUT_S = 30.0  # as long as the longest route keeps a caller waiting
+CHUNKS_END = b'0\r\n\r\n'
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+CLOSE_HEADER = (b'Connection', b'close')
+
+
+class Flow(Protocol):
+    """Take in that the caller reads again, or does not."""
+
+    def __call__(self, *, on: bool) -> None:
+        """Slow down, or go on."""
+
+
+Serve = Callable[['HttpCaller', WireRequest], None]
+
+
+class HttpCaller(asyncio.Protocol):
+    """Read whole requests and write answers, one after the other.
+
+    :param limits: returns the bounds in force for what callers send.
+    :param serve: starts to answer a whole request.
+    """
+
+    def __init__(
+        self,
+        limits: Callable[[], CallerLimits],
+        serve: Serve,
+    ) -> None:
+        """Wait for the connection."""
+        loop = asyncio.get_running_loop()
+        self._limits = limits
+        self._serve = serve
+        self._parser = httptools.HttpRequestParser(self)
+        self._deadline = Deadline(loop, self._expire)
+        self._whole: deque[WireRequest] = deque()
+        self._fault: Code | None = None
+        self._method = b''
+        self._keeps = True
+        self._clear()
+        self.is_busy = False
+        self.is_leaving = False
+        self.arrived_s = 0.0
+        self.on_lost: Callable[[], None] | None = None
+        self.on_flow: Flow | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the caller can still be answered."""
+        return not self._transport.is_closing()
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no part of a request has arrived."""
+        return not (self.is_busy or self._received)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to wait for a head."""
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_BYTES_HIGH)
+        tune_socket(transport)
+        self._deadline.start(self._limits().idle_timeout_s)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell whoever answers that the caller went away."""
+        self._deadline.clear()
+        if self.on_lost is not None:
+            self.on_lost()
+
+    def eof_received(self) -> bool:
+        """Take the end of what the caller sends for its leaving."""
+        return False
+
+    def data_received(self, piece: bytes) -> None:
+        """Take in bytes."""
+        if not self.is_busy and not self._received:
+            self._deadline.start(self._limits().head_timeout_s)
+        self._received += len(piece)
+        try:
+            self._parser.feed_data(piece)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._fault = Code.malformed_head
+        self._check_bounds()
+        if not self.is_busy:
+            self._start_next()
+
+    def pause_writing(self) -> None:
+        """Slow down whoever answers."""
+        self._deadline.start(WRITE_TIMEOUT_S)
+        if self.on_flow is not None:
+            self.on_flow(on=False)
+
+    def resume_writing(self) -> None:
+        """Let whoever answers go on."""
+        self._deadline.clear()
+        if self.on_flow is not None:
+            self.on_flow(on=True)
+
+    def on_message_begin(self) -> None:
+        """Start to collect a request."""
+        self._clear()
+        self._in_head = True
+
+    def on_url(self, piece: bytes) -> None:
+        """Collect the target."""
+        self._target += piece
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Collect one header."""
+        self._headers.append((name, text))
+
+    def on_headers_complete(self) -> None:
+        """Go on with the body."""
+        self._in_head = False
+        if any(
+            name.lower() == b'expect' and text.lower() == b'100-continue'
+            for name, text in self._headers
+        ):
+            self._transport.write(CONTINUE)
+
+    def on_body(self, piece: bytes) -> None:
+        """Collect the body."""
+        self._body += piece
+
+    def on_message_complete(self) -> None:
+        """Keep a whole request until those before it are answered."""
+        self._received = 0
+        self._whole.append(
+            WireRequest(
+                self._parser.get_method(),
+                bytes(self._target),
+                tuple(self._headers),
+                bytes(self._body),
+                keeps_open=self._parser.should_keep_alive(),
+            ),
+        )
+        if len(self._whole) > PIPELINED_MOST:
+            self._transport.pause_reading()
+
+    def answer(
+        self,
+        status: int,
+        headers: tuple[Header, ...] = (),
+        body: bytes = b'',
+    ) -> None:
+        """Send a whole answer."""
+        keeps = self._keeps_open()
+        sent = (*headers, (b'Content-Length', b'%d' % len(body)))
+        if not keeps:
+            sent = (*sent, CLOSE_HEADER)
+        shown = b'' if self._method == b'HEAD' else body
+        self._transport.write(encode_head(status, sent) + shown)
+        self._finish(keeps=keeps)
+
+    def start_stream(self, status: int, headers: tuple[Header, ...]) -> None:
+        """Send the head of an answer whose pieces follow."""
+        sent = (*headers, (b'Transfer-Encoding', b'chunked'))
+        if not self._keeps_open():
+            sent = (*sent, CLOSE_HEADER)
+            self._keeps = False
+        self._transport.write(encode_head(status, sent))
+
+    def write_piece(self, piece: bytes) -> None:
+        """Send a piece of a stream."""
+        self._transport.write(b'%x\r\n%b\r\n' % (len(piece), piece))
+
+    def end_stream(self) -> None:
+        """End a stream as complete."""
+        self._transport.write(CHUNKS_END)
+        self._finish(keeps=self._keeps_open())
+
+    def cut_stream(self) -> None:
+        """Close without the end mark, so that a cut is seen as cut."""
+        self._finish(keeps=False)
+
+    def leave(self) -> None:
+        """Close now if idle, else after the answer that is under way."""
+        self.is_leaving = True
+        if self.is_idle:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        self._transport.abort()
+
+    def _check_bounds(self) -> None:
+        limits = self._limits()
+        if len(self._body) > limits.body_bytes:
+            self._fault = Code.body_too_large
+        elif self._in_head and self._received > limits.head_bytes:
+            self._fault = Code.header_too_large
+
+    def _start_next(self) -> None:
+        if self._whole:
+            self._deadline.clear()
+            self.is_busy = True
+            request = self._whole.popleft()
+            self._method = request.method
+            self._keeps = request.keeps_open
+            self.arrived_s = asyncio.get_running_loop().time()
+            self._serve(self, request)
+        elif self._fault is not None:
+            self._refuse(self._fault)
+
+    def _refuse(self, code: Code) -> None:
+        self.is_busy = True
+        self._keeps = False
+        meaning = MEANINGS[code]
+        self.answer(meaning.status, (), meaning.text.encode())
+
+    def _clear(self) -> None:
+        self._in_head = False
+        self._received = 0
+        self._target = bytearray()
+        self._headers: list[Header] = []
+        self._body = bytearray()
+
+    def _keeps_open(self) -> bool:
+        return self._keeps and not self.is_leaving
+
+    def _finish(self, *, keeps: bool) -> None:
+        self.on_lost = None
+        self.on_flow = None
+        self.is_busy = False
+        if not keeps or not self.is_open:
+            self._transport.close()
+            return
+        self._deadline.start(self._limits().idle_timeout_s)
+        if self._whole or self._fault is not None:
+            self._transport.resume_reading()
+            asyncio.get_running_loop().call_soon(self._start_waiting)
+
+    def _start_waiting(self) -> None:
+        if self.is_open and not self.is_busy:
+            self._start_next()
+
+    def _expire(self) -> None:
+        if self.is_busy:
+            self._transport.abort()
+        elif self._received:
+            self._refuse(Code.slow_sender)
+        else:
+            self._transport.close()
+
+
+def encode_head(status: int, headers: tuple[Header, ...]) -> bytes:
+    """Return the head of an answer."""
+    try:
+        reason = HTTPStatus(status).phrase
+    except ValueError:
+        reason = 'Status'
+    lines = [f'HTTP/1.1 {status} {reason}'.encode()]
+    lines.extend(b'%b: %b' % header for header in headers)
+    return b'\r\n'.join((*lines, b'', b''))
--- a/src/siskinpass/connection/sockets.py
+++ b/src/siskinpass/connection/sockets.py
@@ -2,22 +2,40 @@
 
 import asyncio
 import socket
+from dataclasses import dataclass
 
-KEEPALIVE_IDLE_S = 10
-KEEPALIVE_EVERY_S = 5
-KEEPALIVE_PROBES = 3
-USER_TIMEOUT_MS = 20_000
 
+@dataclass(frozen=True, slots=True)
+class SocketTimes:
+    """Set when the kernel gives a silent peer up.
 
-def tune_socket(transport: asyncio.BaseTransport) -> None:
+    :param idle_s: idle time before the first keep-alive probe.
+    :param every_s: time between probes.
+    :param probes: unanswered probes that end the connection.
+    :param user_ms: longest time that sent bytes stay unacknowledged.
+    """
+
+    idle_s: int = 10
+    every_s: int = 5
+    probes: int = 3
+    user_ms: int = 20_000
+
+
+DEFAULT_TIMES = SocketTimes()
+
+
+def tune_socket(
+    transport: asyncio.BaseTransport,
+    times: SocketTimes = DEFAULT_TIMES,
+) -> None:
     """Let the kernel notice a peer that went silent for good."""
     sock = transport.get_extra_info('socket')
     if sock is None or sock.family not in {socket.AF_INET, socket.AF_INET6}:
         return
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_EVERY_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, times.idle_s)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, times.every_s)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, times.probes)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, times.user_ms)
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
--- a/src/siskinpass/exceptions.py
+++ b/src/siskinpass/exceptions.py
@@ -58,5 +58,9 @@
     """A write may or may not have taken effect."""
 
 
+class FormatError(SiskinpassError):
+    """A document from outside cannot be read."""
+
+
 class SettingsError(SiskinpassError):
     """A process setting is wrong."""
--- /dev/null
+++ b/src/siskinpass/platform/config.py
@@ -0,0 +1,133 @@
+"""Decode the operator's configuration into a routing table."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from siskinpass.codes import Code
+from siskinpass.exceptions import FormatError
+from siskinpass.platform.fields import (
+    NUMBER,
+    read_field,
+    read_seconds,
+    read_tables,
+)
+from siskinpass.version.routes import (
+    CallerLimits,
+    Engine,
+    Repeat,
+    Route,
+    RouteTable,
+    Service,
+    Share,
+    Workspace,
+)
+
+CONFIG_KIND = 'config'
+CONFIG_NAME = 'main'
+REPEATS = {
+    'safe': Repeat.idempotent,
+    'unsafe': Repeat.once,
+    'stream': Repeat.stream,
+}
+DEFAULT_CONNECTIONS = 100
+
+
+def decode_config(spec: Mapping[str, Any]) -> RouteTable:
+    """Return the routing table that a configuration states.
+
+    :raises FormatError: where a field is missing or wrong; a table is never
+        applied in part.
+    """
+    services = [_service(row) for row in read_tables(spec, 'services')]
+    return RouteTable(
+        version=read_field(spec, 'version', int),
+        routes=tuple(_route(row) for row in read_tables(spec, 'routes')),
+        services={service.name: service for service in services},
+        limits=_limits(read_field(spec, 'limits', dict, {})),
+        workspaces=tuple(
+            _workspace(row) for row in read_tables(spec, 'tenants')
+        ),
+    )
+
+
+def _route(row: Mapping[str, Any]) -> Route:
+    repeat = REPEATS.get(read_field(row, 'route-type', str))
+    if repeat is None:
+        raise FormatError(Code.document_wrong, f'route-type: {row}')
+    return Route(
+        name=read_field(row, 'name', str, ''),
+        host=read_field(row, 'host', str),
+        prefix=read_field(row, 'path-prefix', str),
+        repeat=repeat,
+        shares=_shares(row),
+        timeout_s=read_seconds(row, 'timeout-ms'),
+        target_s=read_seconds(row, 'target-latency-ms', 0),
+        pause_s=read_seconds(row, 'target-gap-ms', 0),
+        tier=read_field(row, 'priority', int, 0),
+        attempts_most=read_field(row, 'max-attempts', int, 1),
+        is_open=read_field(row, 'auth-exempt', bool, default=False),
+        # Set for requests with a prompt, whatever the name says.
+        has_prompt=read_field(row, 'sticky', bool, default=False),
+        is_resumable=read_field(row, 'stream-resume', bool, default=False),
+    )
+
+
+def _shares(row: Mapping[str, Any]) -> tuple[Share, ...]:
+    parts = read_tables(row, 'traffic-split')
+    if not parts:
+        return (Share(read_field(row, 'service', str), 1.0),)
+    shares = [
+        Share(
+            read_field(part, 'service', str),
+            float(read_field(part, 'weight', NUMBER, 1)),
+        )
+        for part in parts
+    ]
+    used = tuple(share for share in shares if share.weight > 0)
+    if not used:
+        raise FormatError(Code.document_wrong, f'traffic-split: {parts}')
+    return used
+
+
+def _service(row: Mapping[str, Any]) -> Service:
+    engine = row.get('engine')
+    return Service(
+        name=read_field(row, 'name', str),
+        connections_most=read_field(
+            row,
+            'max-connections',
+            int,
+            DEFAULT_CONNECTIONS,
+        ),
+        engine=_engine(engine) if isinstance(engine, dict) else None,
+    )
+
+
+def _engine(row: Mapping[str, Any]) -> Engine:
+    return Engine(
+        slots=read_field(row, 'slots', int, 1),
+        memory_tokens=int(read_field(row, 'kv-capacity-tokens', NUMBER, 0)),
+        token_bytes=int(read_field(row, 'kv-token-bytes', NUMBER, 0)),
+        takes_backups=read_field(row, 'backups', bool, default=False),
+    )
+
+
+def _limits(row: Mapping[str, Any]) -> CallerLimits:
+    default = CallerLimits()
+    return CallerLimits(
+        head_bytes=read_field(
+            row, 'max-header-bytes', int, default.head_bytes
+        ),
+        body_bytes=read_field(row, 'max-body-bytes', int, default.body_bytes),
+        head_timeout_s=read_seconds(row, 'header-timeout-ms', 5000),
+        idle_timeout_s=read_seconds(row, 'idle-timeout-ms', 60_000),
+    )
+
+
+def _workspace(row: Mapping[str, Any]) -> Workspace:
+    tier = row.get('priority')
+    return Workspace(
+        name=read_field(row, 'name', str),
+        keys=frozenset(map(str, read_field(row, 'api-keys', list, []))),
+        tier=tier if isinstance(tier, int) else None,
+    )
--- /dev/null
+++ b/src/siskinpass/platform/headers.py
@@ -0,0 +1,173 @@
+"""Translate the headers of requests and answers."""
+
+from siskinpass.platform.fields import MS_PER_S
+from siskinpass.request.inbound import (
+    AnswerHead,
+    Call,
+    Header,
+    Prompt,
+    PromptPart,
+    SendOrder,
+    WireRequest,
+)
+
+CALL_ID = b'x-attempt-id'
+RECEIPT = b'x-server-seal'
+NOT_RUN = b'x-not-executed'
+DEADLINE = b'x-deadline-ms'
+RESUME = b'last-event-id'
+AUTHORIZATION = b'authorization'
+BEARER = 'bearer '
+STATUS_MISDIRECTED = 421
+
+# Headers that concern one connection only.
+HOP_HEADERS = frozenset((
+    b'connection',
+    b'keep-alive',
+    b'proxy-connection',
+    b'proxy-authenticate',
+    b'proxy-authorization',
+    b'te',
+    b'trailer',
+    b'transfer-encoding',
+    b'upgrade',
+    b'content-length',
+    b'expect',
+))
+# Headers that only this system may set; a caller's own are dropped.
+SYSTEM_HEADERS = frozenset((
+    DEADLINE,
+    RESUME,
+    AUTHORIZATION,
+    b'x-expect-instance',
+    b'x-expect-version',
+    b'x-tenant',
+    b'x-request-urgency',
+    b'x-hold',
+    b'x-pin-ms',
+    b'x-kv-backup',
+    b'kv-from',
+    b'kv-fetch',
+))
+
+
+def decode_call(request: WireRequest) -> Call:
+    """Return a request with its headers decoded.
+
+    A header that cannot be read counts as missing.
+    """
+    found = {name.lower(): text for name, text in request.headers}
+    dropped = HOP_HEADERS | SYSTEM_HEADERS | _named_by_connection(found)
+    return Call(
+        request=request,
+        host=_text(found, b'host'),
+        call_id=_text(found, CALL_ID),
+        patience_s=_number(_text(found, DEADLINE)) / MS_PER_S,
+        key=_bearer(_text(found, AUTHORIZATION)),
+        resume_after=_text(found, RESUME),
+        prompt=_prompt(found),
+        headers=tuple(
+            header
+            for header in request.headers
+            if header[0].lower() not in dropped
+        ),
+    )
+
+
+def encode_send(call: Call, order: SendOrder) -> bytes:
+    """Return the request as a backend server gets it."""
+    request = call.request
+    lines = [b'%b %b HTTP/1.1' % (request.method, request.target)]
+    lines.extend(b'%b: %b' % header for header in call.headers)
+    lines.extend(_order_lines(order))
+    if request.body or request.method not in {b'GET', b'HEAD', b'DELETE'}:
+        lines.append(b'Content-Length: %d' % len(request.body))
+    return b'\r\n'.join((*lines, b'', request.body))
+
+
+def decode_answer(status: int, headers: tuple[Header, ...]) -> AnswerHead:
+    """Return the head of an answer with its headers decoded."""
+    found = {name.lower(): text for name, text in headers}
+    dropped = HOP_HEADERS | _named_by_connection(found)
+    connection = _text(found, b'connection').lower()
+    return AnswerHead(
+        status=status,
+        call_id=_text(found, CALL_ID),
+        receipt=_text(found, RECEIPT),
+        # 421 says the same without the header.
+        not_run=NOT_RUN in found or status == STATUS_MISDIRECTED,
+        length=_length(found),
+        is_chunked='chunked' in _text(found, b'transfer-encoding').lower(),
+        is_closing='close' in connection,
+        is_encoded=b'content-encoding' in found,
+        idle_s=_keep_alive_s(_text(found, b'keep-alive')),
+        headers=tuple(
+            header for header in headers if header[0].lower() not in dropped
+        ),
+    )
+
+
+def _order_lines(order: SendOrder) -> list[bytes]:
+    left_ms = max(1, int(order.left_s * MS_PER_S))
+    fields = (
+        ('X-Deadline-Ms', str(left_ms)),
+        ('X-Expect-Instance', order.server),
+        ('X-Tenant', order.workspace),
+        ('X-Request-Urgency', str(order.urgency)),
+        ('Last-Event-Id', order.resume_after),
+        ('X-Kv-Backup', order.backup),
+        ('Kv-From', order.copy_from),
+    )
+    return [f'{name}: {text}'.encode('latin-1') for name, text in fields if text]
+
+
+def _named_by_connection(found: dict[bytes, bytes]) -> frozenset[bytes]:
+    named = found.get(b'connection', b'').lower().split(b',')
+    return frozenset(name.strip() for name in named)
+
+
+def _prompt(found: dict[bytes, bytes]) -> Prompt:
+    # "prompt tokens, most output tokens"
+    counts = _text(found, b'x-token-count').split(',')
+    entries = _text(found, b'x-prompt-prefix').split(',')
+    return Prompt(
+        parts=tuple(_part(entry) for entry in entries if entry),
+        tokens_in=int(_number(counts[0])),
+        tokens_out_most=int(_number(counts[-1])) if len(counts) > 1 else 0,
+        tokens_out_hint=int(_number(_text(found, b'x-length-hint'))),
+    )
+
+
+def _part(entry: str) -> PromptPart:
+    key, _, tokens = entry.strip().partition(':')
+    return PromptPart(key, int(_number(tokens)))
+
+
+def _bearer(text: str) -> str:
+    if text[: len(BEARER)].lower() == BEARER:
+        return text[len(BEARER) :].strip()
+    return ''
+
+
+def _length(found: dict[bytes, bytes]) -> int | None:
+    text = _text(found, b'content-length')
+    return int(text) if text.isdigit() else None
+
+
+def _keep_alive_s(text: str) -> float:
+    for parameter in text.split(','):
+        name, _, seconds = parameter.strip().partition('=')
+        if name.lower() == 'timeout':
+            return _number(seconds)
+    return 0.0
+
+
+def _text(found: dict[bytes, bytes], name: bytes) -> str:
+    return found.get(name, b'').decode('latin-1').strip()
+
+
+def _number(text: str) -> float:
+    try:
+        return max(0.0, float(text))
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/src/siskinpass/platform/workers.py
@@ -0,0 +1,43 @@
+"""Decode the platform's entries of backend servers."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from siskinpass.codes import Code
+from siskinpass.exceptions import FormatError
+from siskinpass.platform.fields import read_field
+from siskinpass.request.ticket import ServerView
+
+WORKERS_KIND = 'servers'
+STATES = ('ready', 'draining')
+
+
+def decode_worker(name: str, spec: Any) -> ServerView:
+    """Return the backend server that an entry describes.
+
+    :param name: the entry's name, which is the server's id.
+    :raises FormatError: where the entry names no server to use.
+    """
+    if not isinstance(spec, dict):
+        raise FormatError(Code.document_wrong, f'{name}: not a table')
+    state = read_field(spec, 'state', str)
+    if state not in STATES:
+        raise FormatError(Code.document_wrong, f'{name}: state {state}')
+    return ServerView(
+        name=name,
+        address=_address(spec),
+        pool=read_field(spec, 'service', str),
+        zone=read_field(spec, 'zone', str, ''),
+        leaving=state != 'ready',
+        slots=read_field(spec, 'slots', int, 1),
+        # Unix milliseconds of the start of this incarnation.
+        incarnation=read_field(spec, 'born', int, 0),
+    )
+
+
+def _address(spec: Mapping[str, Any]) -> str:
+    address = read_field(spec, 'address', str)
+    host, _, port = address.rpartition(':')
+    if not host or not port.isdigit():
+        raise FormatError(Code.document_wrong, f'address: {address:.60}')
+    return address
--- a/src/siskinpass/process/addresses.py
+++ b/src/siskinpass/process/addresses.py
@@ -7,6 +7,8 @@
 from siskinpass.process.membership import Member
 
 ADDRESSES_TOLD = 3
+NEAR_LEAST = 2
+NEAR_MOST = 64  # callers read no more of an answer
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,3 +50,17 @@
         ranks.append(seen[address.zone])
     order = sorted(range(len(found)), key=ranks.__getitem__)
     return [found[index] for index in order]
+
+
+def addresses_near(serving: Iterable[Member], zone: str) -> list[str]:
+    """Return the instances of a zone, or all where it has fewer than two.
+
+    One alone would leave a caller without a second address to turn to.
+
+    :param serving: members that are neither dead nor leaving.
+    :param zone: availability zone of the caller.
+    """
+    found = [member for member in serving if member.caller_address]
+    near = [member for member in found if member.zone == zone]
+    used = near if len(near) >= NEAR_LEAST else found
+    return [member.caller_address for member in used[:NEAR_MOST]]
--- a/src/siskinpass/process/attempt.py
+++ b/src/siskinpass/process/attempt.py
@@ -10,6 +10,7 @@
     BackendConnection,
 )
 from siskinpass.exceptions import BackendError, SiskinpassError
+from siskinpass.request.inbound import Header
 from siskinpass.request.stream import TokenTap
 
 STATUS_UNAVAILABLE = 503
@@ -58,15 +59,19 @@
         self.sent_s = self._loop.time()
         connection.send(request, self)
 
-    def take_head(self, status: int, headers: dict[str, str]) -> None:
+    def take_head(self, status: int, headers: tuple[Header, ...]) -> bool:
         """Check the status."""
         self.status = status
-        self.headers = headers
+        self.headers = {
+            name.decode('latin-1').lower(): text.decode('latin-1')
+            for name, text in headers
+        }
         if self.tap is not None and status != STATUS_OK:
             code = Code.backend_error
             if status == STATUS_UNAVAILABLE:
                 code = Code.retry_backend_leaving
             self.break_off(BackendError(code, f'status {status}'))
+        return True
 
     def take_piece(self, piece: bytes) -> None:
         """Pass on what may be passed on."""
--- a/src/siskinpass/process/broker.py
+++ b/src/siskinpass/process/broker.py
@@ -13,7 +13,7 @@
 from siskinpass.codes import Code
 from siskinpass.process.demand import Demand
 from siskinpass.process.limits import LimitPolicy, Sample
-from siskinpass.process.placement import ServerTable
+from siskinpass.process.placement import Chooser, ServerTable
 from siskinpass.process.preemption import (
     Running,
     choose_moves,
@@ -31,6 +31,8 @@
     GrantReported,
     Moved,
     Paused,
+    PeerLoadsTold,
+    PromptRead,
     Refused,
     ServersListed,
     Ticket,
@@ -54,6 +56,8 @@
         tickets are served as they come.
     :param pauses: whether lower tiers are paused for upper ones.
     :param at_random: whether placement takes any server with a free slot.
+    :param chooser: chooses among the servers with a free slot.
+    :param moves: whether streams leave servers that became slow.
     """
 
     limit: LimitPolicy = field(default_factory=LimitPolicy)
@@ -62,6 +66,8 @@
     in_order: bool = True
     pauses: bool = True
     at_random: bool = False
+    chooser: Chooser | None = None
+    moves: bool = True
 
 
 class Broker:
@@ -70,7 +76,11 @@
     def __init__(self, policy: BrokerPolicy) -> None:
         """Start without servers, tickets or grants."""
         self._policy = policy
-        self._table = ServerTable(policy.limit, at_random=policy.at_random)
+        self._table = ServerTable(
+            policy.limit,
+            at_random=policy.at_random,
+            chooser=policy.chooser,
+        )
         self._waiting = WaitingTickets()
         self._running: dict[str, Running] = {}
         self._demand = Demand()
@@ -145,7 +155,7 @@
         self._add_demand(held.ticket, -1)
         server = self._table.find(held.server)
         if server is not None:
-            server.running -= 1
+            server.finish(held.ticket, was_read=held.was_read)
             server.note_end(self._now_s, failed=event.failed)
 
     @_take.register
@@ -158,7 +168,21 @@
         self._add_demand(ticket, 1)
         server = self._table.find(event.server)
         if server is not None:
-            server.running += 1
+            server.start(ticket)
+
+    @_take.register
+    def _read_prompt(self, event: PromptRead) -> None:
+        held = self._running.get(event.ticket_id)
+        if held is None or held.was_read:
+            return
+        held.was_read = True
+        server = self._table.find(held.server)
+        if server is not None:
+            server.read_prompt(held.ticket)
+
+    @_take.register
+    def _tell_peers(self, event: PeerLoadsTold) -> None:
+        self._table.take_peer_loads(event.loads)
 
     @_take.register
     def _observe(self, event: TokensObserved) -> None:
@@ -193,8 +217,9 @@
 
     @_take.register
     def _tick(self, event: ClockTicked) -> None:
-        self._table.mark_slow(self._now_s)
-        self._move_from_slow()
+        if self._policy.moves:
+            self._table.mark_slow(self._now_s)
+            self._move_from_slow()
         for ticket in self._waiting:
             if ticket.gives_up_s <= self._now_s and not ticket.resumed:
                 self._refuse(ticket, Code.wait_too_long)
@@ -274,7 +299,7 @@
         self._waiting.charge(ticket, owed=owed)
         name = server.view.name
         self._running[ticket.ticket_id] = Running(ticket, name, protected=owed)
-        server.running += 1
+        server.start(ticket)
         self._table.remember(ticket.prefix, name)
         self._rate.note(ticket.tier, self._now_s)
         self._commands.append(Granted(ticket.ticket_id, ticket.entry, name))
--- /dev/null
+++ b/src/siskinpass/process/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Run one entry instance behind the platform adapter."""
--- /dev/null
+++ b/src/siskinpass/process/fleet/__main__.py
@@ -0,0 +1,25 @@
+"""Run one entry instance with the platform's settings file."""
+
+import os
+import sys
+from pathlib import Path
+
+from siskinpass.exceptions import SettingsError
+from siskinpass.platform.boot import SETTINGS_VARIABLE, read_settings
+from siskinpass.process.fleet.serve import serve
+
+STATUS_WRONG = 2
+
+
+def main() -> int:
+    """Serve, and return the exit status: 2 where a setting is wrong."""
+    try:
+        settings = read_settings(Path(os.environ.get(SETTINGS_VARIABLE, '')))
+    except SettingsError as error:
+        sys.stderr.write(f'siskinpass: {int(error.code)} {error}\n')
+        return STATUS_WRONG
+    serve(settings)
+    return 0
+
+
+sys.exit(main())
--- /dev/null
+++ b/src/siskinpass/process/fleet/forward.py
@@ -0,0 +1,401 @@
+"""Forward callers' requests to backend servers."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable, Generator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+from siskinpass.codes import MEANINGS, Code
+from siskinpass.connection.backend import BackendPool
+from siskinpass.connection.http_caller import HttpCaller
+from siskinpass.exceptions import ConnectError, RefusedError
+from siskinpass.platform.headers import decode_call, encode_send
+from siskinpass.process.fleet.answer import AnswerTaker, Ended
+from siskinpass.process.fleet.assigner import Assigner
+from siskinpass.process.fleet.tickets import Attempt, make_ticket, urgency_of
+from siskinpass.process.logs import PartLog
+from siskinpass.process.metrics import Metrics
+from siskinpass.request.events import EventTap
+from siskinpass.request.inbound import (
+    AnswerHead,
+    Call,
+    SendOrder,
+    WireRequest,
+)
+from siskinpass.request.resend import Ending, Sends, Step, decide, give_up
+from siskinpass.request.retry_window import RetryWindow
+from siskinpass.request.ticket import ServerView, Ticket
+from siskinpass.version.routes import (
+    Route,
+    RouteTable,
+    Workspace,
+    tier_of,
+)
+
+MS_PER_S = 1000
+# Callers wait at most a third of the time they have left; this is well inside
+# it for the shortest time limit of the sheets.
+RETURN_LEAST_S = 0.1
+RETURN_SPREAD_S = 0.3
+# Less time than this is not worth an attempt: no answer comes in it.
+LEFT_LEAST_S = 0.02
+DEFAULT_PATIENCE_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class Tools:
+    """Hold what a request needs of its process.
+
+    :param table: returns the routing table in force, none before the first.
+    :param may_retry: takes a send beyond the first from a service's budget.
+    :param note_request: counts a request of a service.
+    """
+
+    table: Callable[[], RouteTable | None]
+    assigner: Assigner
+    backends: BackendPool
+    metrics: Metrics
+    may_retry: Callable[[str], bool]
+    note_request: Callable[[str], None]
+    log: PartLog = field(default_factory=lambda: PartLog('forward'))
+
+
+class RetryBudgets:
+    """Hold this instance's part of the retry budget of each service.
+
+    :param make: returns a window with the operator's bounds.
+    :param instances: returns how many instances share the budget.
+    """
+
+    def __init__(
+        self,
+        make: Callable[[], RetryWindow],
+        instances: Callable[[], int],
+    ) -> None:
+        """Start with unused budgets."""
+        self._make = make
+        self._instances = instances
+        self._windows: dict[str, RetryWindow] = {}
+
+    def note_request(self, service: str) -> None:
+        """Count one request of a service."""
+        self._window(service).note_request(_now_s())
+
+    def spend(self, service: str) -> bool:
+        """Take one send, and tell whether there was one."""
+        return self._window(service).spend(_now_s(), self._instances())
+
+    def _window(self, service: str) -> RetryWindow:
+        window = self._windows.get(service)
+        if window is None:
+            window = self._make()
+            self._windows[service] = window
+        return window
+
+
+class Forwarder:
+    """Start and follow one task for each request."""
+
+    def __init__(self, tools: Tools) -> None:
+        """Start without requests."""
+        self._tools = tools
+        self._numbers = itertools.count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def open_requests(self) -> int:
+        """Return how many requests are not answered yet."""
+        return len(self._tasks)
+
+    def serve(self, caller: HttpCaller, request: WireRequest) -> None:
+        """Start to answer a request."""
+        run = ForwardRun(self._tools, caller, request, next(self._numbers))
+        task = asyncio.get_running_loop().create_task(run.run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        caller.on_lost = task.cancel
+
+
+class ForwardRun:
+    """Answer one request."""
+
+    def __init__(
+        self,
+        tools: Tools,
+        caller: HttpCaller,
+        request: WireRequest,
+        number: int,
+    ) -> None:
+        """Decode the request."""
+        self._tools = tools
+        self._caller = caller
+        self._call = decode_call(request)
+        self._number = number
+        self._started_s = caller.arrived_s
+        self._sends = Sends()
+        self._tap: EventTap | None = None
+        self._in_flight = False
+        self._has_begun = False
+        self._avoid = ''
+        self._server = ''
+
+    async def run(self) -> None:
+        """Answer it; a caller that left cancels this."""
+        try:
+            await self._admit()
+        except asyncio.CancelledError:
+            self._note('The caller left.', Code.stream_cut)
+        except RefusedError as error:
+            self._refuse(error.code, error.retry_after_ms)
+        except Exception as error:
+            self._tools.log.warn(
+                'A request failed in this process.',
+                call=self._call.call_id,
+                cause=repr(error),
+            )
+            self._caller.abort()
+            raise
+
+    def begin(self, head: AnswerHead) -> None:
+        """Pass on the head of a stream, once for all attempts."""
+        if not self._has_begun:
+            self._has_begun = True
+            self._caller.start_stream(head.status, head.headers)
+
+    def write(self, events: bytes) -> None:
+        """Pass on whole events."""
+        self._caller.write_piece(events)
+
+    async def _admit(self) -> None:
+        table = self._tools.table()
+        if table is None:
+            raise RefusedError(Code.no_tree_in_force)
+        route = table.find(self._call.host, self._call.request.path)
+        if route is None:
+            self._refuse(Code.unknown_path)
+            return
+        workspace = table.workspace_of(self._call.key)
+        if workspace is None and table.needs_keys and not route.is_open:
+            self._refuse(Code.unknown_key)
+            return
+        if not table.needs_keys or route.is_open:
+            workspace = None
+        await self._serve(route, workspace, table)
+
+    async def _serve(
+        self,
+        route: Route,
+        workspace: Workspace | None,
+        table: RouteTable,
+    ) -> None:
+        patience_s = self._call.patience_s or DEFAULT_PATIENCE_S
+        ends_s = self._started_s + min(patience_s, route.timeout_s)
+        service = route.service_at(random.random())
+        self._tools.note_request(service)
+        if route.is_stream:
+            self._tap = EventTap()
+        plan = _Plan(route, workspace, service, ends_s, table)
+        try:
+            async with asyncio.timeout_at(ends_s):
+                await self._attempt_all(plan)
+        except TimeoutError:
+            self._end_late(plan)
+
+    async def _attempt_all(self, plan: '_Plan') -> None:
+        while True:
+            ended = await self._attempt(plan)
+            if ended.is_success:
+                self._deliver(ended)
+                return
+            step = self._next_step(plan, ended)
+            self._log_step(plan, ended, step)
+            if step not in {Step.resend, Step.resume}:
+                self._finish(step, ended)
+                return
+            self._tools.metrics.retried(_RETRY_CODES[ended.ending])
+
+    async def _attempt(self, plan: '_Plan') -> Ended:
+        ticket = make_ticket(
+            self._call,
+            plan,
+            Attempt(self._ticket_id(), _now_s(), self._avoid),
+        )
+        view = await self._tools.assigner.acquire(ticket)
+        self._server = view.name
+        failed = True
+        try:
+            ended = await self._send(plan, ticket, view)
+            failed = ended.ending in {Ending.unsent, Ending.lost, Ending.cut}
+        except asyncio.CancelledError:
+            failed = False
+            raise
+        finally:
+            self._tools.assigner.release(ticket, failed=failed)
+        self._avoid = view.name
+        return ended
+
+    async def _send(
+        self,
+        plan: '_Plan',
+        ticket: Ticket,
+        view: ServerView,
+    ) -> Ended:
+        try:
+            connection = await self._tools.backends.connect(
+                view.address,
+                fresh=False,
+            )
+        except ConnectError as error:
+            return Ended(Ending.unsent, cause=str(error))
+        taker = AnswerTaker(self._call.call_id, self._tap, self)
+        order = SendOrder(
+            server=view.name,
+            left_s=plan.ends_s - _now_s(),
+            workspace=plan.workspace.name if plan.workspace else '',
+            urgency=urgency_of(ticket.tier),
+            resume_after=self._resume_after(plan.route),
+        )
+        if order.left_s < LEFT_LEAST_S:
+            connection.cancel()
+            return Ended(Ending.unsent, cause='no time left')
+        with self._following(taker):
+            taker.start(connection, encode_send(self._call, order))
+            ended = await taker.finished
+        return ended
+
+    @contextmanager
+    def _following(self, taker: AnswerTaker) -> Generator[None, None, None]:
+        """Stop the server's work if the request ends before its answer."""
+        self._in_flight = True
+        self._caller.on_flow = taker.set_flow
+        try:
+            yield
+        finally:
+            taker.cancel()
+            self._caller.on_flow = None
+        self._in_flight = False
+
+    def _next_step(self, plan: '_Plan', ended: Ended) -> Step:
+        if ended.ending in {Ending.unsent, Ending.declined}:
+            self._sends = Sends(self._sends.run, self._sends.not_run + 1)
+        else:
+            self._sends = Sends(self._sends.run + 1, self._sends.not_run)
+        step = decide(plan.route, ended.ending, self._sends)
+        if step in {Step.resend, Step.resume} and not self._may_go_on(
+            plan,
+            ended,
+        ):
+            return give_up(ended.ending, has_run=self._sends.run > 0)
+        return step
+
+    def _may_go_on(self, plan: '_Plan', ended: Ended) -> bool:
+        if plan.ends_s - _now_s() < LEFT_LEAST_S:
+            return False
+        if ended.ending is Ending.unsent:
+            return True
+        return self._tools.may_retry(plan.service)
+
+    def _deliver(self, ended: Ended) -> None:
+        if self._has_begun:
+            self._caller.end_stream()
+        else:
+            self._caller.answer(ended.head.status, ended.head.headers, ended.body)
+        self._tools.metrics.answered('', 0)
+
+    def _finish(self, step: Step, ended: Ended) -> None:
+        if self._has_begun or step is Step.cut:
+            self._cut(Code.stream_cut)
+        elif step is Step.pass_on:
+            self._caller.answer(ended.head.status, ended.head.headers, ended.body)
+        elif step is Step.tell_not_run:
+            self._refuse(Code.no_backend_server)
+        else:
+            self._refuse(Code.outcome_unknown)
+
+    def _end_late(self, plan: '_Plan') -> None:
+        if self._has_begun:
+            self._cut(Code.stream_silent)
+        elif self._in_flight or self._sends.run:
+            self._refuse(Code.stream_silent)
+        else:
+            self._refuse(Code.wait_too_long)
+
+    def _cut(self, code: Code) -> None:
+        self._note('A stream was cut.', code)
+        self._caller.cut_stream()
+
+    def _refuse(self, code: Code, retry_after_ms: int = 0) -> None:
+        meaning = MEANINGS[code]
+        self._note('A request was refused.', code)
+        headers: tuple[tuple[bytes, bytes], ...] = ()
+        if meaning.status == STATUS_UNAVAILABLE:
+            wait_s = max(RETURN_LEAST_S, retry_after_ms / MS_PER_S)
+            wait_s += random.uniform(0, RETURN_SPREAD_S)
+            headers = ((b'Retry-After', b'%.3f' % wait_s),)
+        self._caller.answer(meaning.status, headers, meaning.text.encode())
+
+    def _note(self, sentence: str, code: Code) -> None:
+        self._tools.metrics.refused(code)
+        self._tools.log.note(
+            sentence,
+            call=self._call.call_id,
+            code=int(code),
+            reason=code.name,
+            server=self._server,
+            age_ms=int((_now_s() - self._started_s) * MS_PER_S),
+        )
+
+    def _log_step(self, plan: '_Plan', ended: Ended, step: Step) -> None:
+        self._tools.log.note(
+            'An attempt failed.',
+            call=self._call.call_id,
+            route=plan.route.name,
+            version=plan.table.version,
+            server=self._server,
+            ending=ended.ending.value,
+            cause=ended.cause,
+            status=ended.head.status if ended.head else 0,
+            step=step.value,
+            age_ms=int((_now_s() - self._started_s) * MS_PER_S),
+        )
+
+    def _resume_after(self, route: Route) -> str:
+        if not route.is_resumable:
+            return ''
+        own = self._tap.last_id if self._tap else ''
+        return own or self._call.resume_after
+
+    def _ticket_id(self) -> str:
+        return f'{self._number}.{self._sends.run}.{self._sends.not_run}'
+
+
+@dataclass(frozen=True, slots=True)
+class _Plan:
+    """Hold what stays the same over all attempts."""
+
+    route: Route
+    workspace: Workspace | None
+    service: str
+    ends_s: float
+    table: RouteTable
+
+    @property
+    def tier(self) -> int:
+        """Return the tier of the request."""
+        return tier_of(self.route, self.workspace)
+
+
+STATUS_UNAVAILABLE = 503
+_RETRY_CODES = {
+    Ending.unsent: Code.retry_connect_failed,
+    Ending.declined: Code.retry_backend_leaving,
+    Ending.failed: Code.retry_backend_failed,
+    Ending.lost: Code.retry_reset,
+    Ending.cut: Code.retry_stream_cut,
+}
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/siskinpass/process/fleet/loads.py
@@ -0,0 +1,148 @@
+"""Tell the other instances what this one runs on each backend server."""
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+import orjson
+
+from siskinpass.process.logs import PartLog
+from siskinpass.request.ticket import ServerLoad
+
+TELL_EVERY_S = 0.1  # docs/design/platform.md: the sketch's interval
+REPEAT_EVERY_S = 1.0  # unchanged loads are told again, datagrams may be lost
+NS_PER_MS = 1_000_000
+EXPIRE_S = 3 * REPEAT_EVERY_S
+
+
+@dataclass(frozen=True, slots=True)
+class PeerReport:
+    """Hold what one instance told last.
+
+    :param order: counts up with each report of one process.
+    """
+
+    order: int
+    heard_s: float
+    loads: Mapping[str, ServerLoad]
+
+
+class PeerLoads:
+    """Add up what the other instances told. Pure logic."""
+
+    def __init__(self) -> None:
+        """Start with nothing heard."""
+        self._reports: dict[str, PeerReport] = {}
+
+    def hear(self, name: str, report: PeerReport) -> None:
+        """Take in a report; one that was overtaken is dropped."""
+        known = self._reports.get(name)
+        if known is None or report.order > known.order:
+            self._reports[name] = report
+
+    def expire(self, now_s: float) -> None:
+        """Forget the reports of instances that fell silent."""
+        for name, report in tuple(self._reports.items()):
+            if now_s - report.heard_s > EXPIRE_S:
+                self._reports.pop(name)
+
+    def total(self) -> dict[str, ServerLoad]:
+        """Return the sum of all reports."""
+        summed: dict[str, ServerLoad] = {}
+        for report in self._reports.values():
+            for server, load in report.loads.items():
+                known = summed.get(server, ServerLoad())
+                summed[server] = ServerLoad(
+                    known.running + load.running,
+                    known.work + load.work,
+                )
+        return summed
+
+
+class LoadExchange(asyncio.DatagramProtocol):
+    """Own the socket of the load reports.
+
+    :param own: name of this instance.
+    :param own_loads: returns what this instance runs.
+    :param peers: returns the ``(ip, port)`` of the other instances.
+    :param on_loads: takes what the others run, as often as it is told.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        own_loads: Callable[[], Mapping[str, ServerLoad]],
+        peers: Callable[[], Iterable[tuple[str, int]]],
+        on_loads: Callable[[Mapping[str, ServerLoad]], None],
+    ) -> None:
+        """Wait for the socket."""
+        self._own = own
+        self._own_loads = own_loads
+        self._peers = peers
+        self._on_loads = on_loads
+        self._loop = asyncio.get_running_loop()
+        self._heard = PeerLoads()
+        self._log = PartLog('loads')
+        self._told: Mapping[str, ServerLoad] = {}
+        self._told_s = 0.0
+        self._has_news = False
+        # A restarted process has to count on from where it was.
+        self._order = time.time_ns() // NS_PER_MS
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket."""
+        self._transport = transport
+
+    def datagram_received(self, datagram: bytes, addr: object) -> None:
+        """Take in one report."""
+        try:
+            name, order, rows = orjson.loads(datagram)
+            loads = {
+                server: ServerLoad(int(running), float(work))
+                for server, running, work in rows
+            }
+        except (ValueError, TypeError) as error:
+            self._log.warn('A load report cannot be read.', cause=str(error))
+            return
+        report = PeerReport(order, self._loop.time(), loads)
+        self._heard.hear(name, report)
+        self._has_news = True
+
+    async def run(self) -> None:
+        """Tell and take in reports at an even pace."""
+        while True:
+            await asyncio.sleep(TELL_EVERY_S)
+            self._tell()
+            self._heard.expire(self._loop.time())
+            if self._has_news:
+                self._has_news = False
+                self._on_loads(self._heard.total())
+
+    def _tell(self) -> None:
+        now_s = self._loop.time()
+        loads = self._own_loads()
+        if loads == self._told and now_s - self._told_s < REPEAT_EVERY_S:
+            return
+        self._told = loads
+        self._told_s = now_s
+        self._order += 1
+        rows = [
+            (server, load.running, int(load.work))
+            for server, load in loads.items()
+        ]
+        datagram = orjson.dumps((self._own, self._order, rows))
+        for address in self._peers():
+            self._transport.sendto(datagram, address)
+
+
+def open_udp_socket(ip: str, port: int) -> socket.socket:
+    """Return a bound UDP socket.
+
+    :raises OSError: where the address is taken.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)  # noqa: FBT003
+    sock.bind((ip, port))
+    return sock
--- /dev/null
+++ b/src/siskinpass/process/fleet/watch.py
@@ -0,0 +1,117 @@
+"""Follow the objects of one kind in the store."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from siskinpass.exceptions import FormatError, StoreError
+from siskinpass.platform.objects import Page, StoredObject
+from siskinpass.process.fleet.store_client import StoreClient
+from siskinpass.process.logs import PartLog
+
+# Calls are priced, so a quiet watch waits long; keep-alive probes notice a
+# connection that fell silent meanwhile.
+WATCH_WAIT_S = 15.0
+RETRY_LEAST_S = 0.1
+RETRY_MOST_S = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """All objects of the kind as they are now."""
+
+    stored: tuple[StoredObject, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """Objects changed, in order."""
+
+    stored: tuple[StoredObject, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The store stopped answering."""
+
+
+News = Listed | Changed | Lost
+
+
+class KindWatch:
+    """List a kind once, then follow its changes.
+
+    :param tell: takes what was learnt.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        kind: str,
+        tell: Callable[[News], None],
+    ) -> None:
+        """Start without a revision."""
+        self._store = store
+        self._kind = kind
+        self._tell = tell
+        self._log = PartLog('store')
+        self._revision: int | None = None
+        self._is_lost = False
+        self._failures = 0
+
+    async def run(self) -> None:
+        """Follow the kind until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except (StoreError, FormatError) as error:
+                self._lose(error)
+                await asyncio.sleep(self._pause_s())
+            else:
+                self._regain()
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            page = await self._store.list_kind(self._kind)
+            self._revision = page.revision
+            self._tell(Listed(page.stored))
+            return
+        page = await self._store.watch_kind(
+            self._kind,
+            self._revision,
+            WATCH_WAIT_S,
+        )
+        if page is None:
+            self._log.note('History is gone; listing anew.', kind=self._kind)
+            self._revision = None
+            return
+        self._take(page)
+
+    def _take(self, page: Page) -> None:
+        self._revision = page.revision
+        if page.stored:
+            self._tell(Changed(page.stored))
+
+    def _lose(self, error: Exception) -> None:
+        self._failures += 1
+        # A missed change shows only in a listing.
+        self._revision = None
+        if not self._is_lost:
+            self._is_lost = True
+            self._log.warn(
+                'The store does not answer.',
+                kind=self._kind,
+                cause=str(error),
+            )
+        self._tell(Lost())
+
+    def _regain(self) -> None:
+        if self._is_lost:
+            self._log.note('The store answers again.', kind=self._kind)
+        self._is_lost = False
+        self._failures = 0
+
+    def _pause_s(self) -> float:
+        most_s = min(RETRY_MOST_S, RETRY_LEAST_S * 2**self._failures)
+        return random.uniform(RETRY_LEAST_S, most_s)
--- a/src/siskinpass/process/placement.py
+++ b/src/siskinpass/process/placement.py
@@ -7,11 +7,11 @@
 import hashlib
 import statistics
 from collections import OrderedDict
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
 
 from siskinpass.process.limits import LimitPolicy, SlotLimit
-from siskinpass.request.ticket import ServerView, Ticket
+from siskinpass.request.ticket import ServerLoad, ServerView, Ticket
 
 SLOW_RATIO = 2.0
 SLOW_FRACTION = 0.34
@@ -33,6 +33,30 @@
     slow: bool = False
     failures: int = 0
     shunned_until_s: float = 0.0
+    work: float = 0.0
+    peers: ServerLoad = ServerLoad()
+
+    @property
+    def load(self) -> float:
+        """Return the work of all instances on it, in prompt tokens."""
+        return self.work + self.peers.work
+
+    def start(self, ticket: Ticket) -> None:
+        """Count a granted ticket."""
+        self.running += 1
+        self.work += ticket.work
+
+    def read_prompt(self, ticket: Ticket) -> None:
+        """Count the prompt of a granted ticket as done."""
+        self.work -= ticket.prompt_work
+
+    def finish(self, ticket: Ticket, *, was_read: bool) -> None:
+        """Take a ticket off.
+
+        :param was_read: whether its prompt was counted as done.
+        """
+        self.running -= 1
+        self.work -= ticket.work - (ticket.prompt_work if was_read else 0)
 
     def note_end(self, now_s: float, *, failed: bool) -> None:
         """Shun a server that failed, longer with each failure in a row."""
@@ -57,15 +81,27 @@
         return slots - self.running
 
 
+Chooser = Callable[[Sequence[Server], Ticket], Server]
+
+
 class ServerTable:
     """Own the backend servers of one group."""
 
-    def __init__(self, policy: LimitPolicy, *, at_random: bool) -> None:
+    def __init__(
+        self,
+        policy: LimitPolicy,
+        *,
+        at_random: bool,
+        chooser: Chooser | None = None,
+    ) -> None:
         """Start without servers.
 
         :param at_random: place without regard to load and speed.
+        :param chooser: chooses among the servers with a free slot, in place
+            of the cost by slots and speed.
         """
         self._policy = policy
+        self._chooser = chooser
         self._at_random = at_random
         self._servers: dict[str, Server] = {}
         self._prefixes: OrderedDict[int, str] = OrderedDict()
@@ -121,6 +157,11 @@
             else:
                 self._servers.pop(gone)
 
+    def take_peer_loads(self, loads: Mapping[str, ServerLoad]) -> None:
+        """Take what the other instances run on each server."""
+        for name, server in self._servers.items():
+            server.peers = loads.get(name, ServerLoad())
+
     def mark_slow(self, now_s: float) -> None:
         """Set aside the servers that are much slower than the median."""
         speeds = {
@@ -142,6 +183,13 @@
 
     def choose(self, ticket: Ticket, now_s: float) -> Server | None:
         """Return the best server with a free slot, or none."""
+        if self._chooser is not None:
+            free = [
+                server
+                for server in self._servers.values()
+                if server.free_slots(now_s) > 0
+            ]
+            return self._chooser(free, ticket) if free else None
         best = None
         best_cost = float('inf')
         holder = self._prefixes.get(ticket.prefix) if ticket.prefix else None
@@ -167,14 +215,7 @@
 
 
 def _mark_leaving(server: Server) -> None:
-    view = server.view
-    server.view = ServerView(
-        view.name,
-        view.address,
-        view.pool,
-        view.zone,
-        leaving=True,
-    )
+    server.view = replace(server.view, leaving=True)
 
 
 def _chance(ticket: Ticket, server: Server) -> float:
--- a/src/siskinpass/process/preemption.py
+++ b/src/siskinpass/process/preemption.py
@@ -18,12 +18,14 @@
 
     :param protected: granted by the share of its tier, so never paused.
     :param ending: told to pause or to move; its slot is not free yet.
+    :param was_read: whether its prompt was read.
     """
 
     ticket: Ticket
     server: str
     protected: bool = False
     ending: bool = False
+    was_read: bool = False
 
 
 def choose_pauses(
--- /dev/null
+++ b/src/siskinpass/request/events.py
@@ -0,0 +1,69 @@
+"""Follow the events of one stream, so that only whole ones are passed on.
+
+Pure logic. A piece of an event is held back, so that a stream that breaks off
+can go on elsewhere after the last whole event.
+"""
+
+from siskinpass.codes import Code
+from siskinpass.exceptions import BackendError
+
+EVENT_END = b'\n\n'
+ID_FIELD = b'id:'
+HELD_BYTES_MOST = 262_144  # far above any event; bounds the memory of a stream
+
+
+class EventTap:
+    """Cut a stream into whole events and keep the id of the last."""
+
+    def __init__(self) -> None:
+        """Start before the first event."""
+        self._held = b''
+        self._last_id = ''
+        self._count = 0
+
+    @property
+    def last_id(self) -> str:
+        """Return the id of the last whole event, empty before the first."""
+        return self._last_id
+
+    @property
+    def count(self) -> int:
+        """Return how many whole events were passed on."""
+        return self._count
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether no piece of an event is held back."""
+        return not self._held
+
+    def feed(self, piece: bytes) -> bytes:
+        """Take in bytes and return the whole events among them.
+
+        :raises BackendError: where an event is too large.
+        """
+        arrived = self._held + piece
+        end = arrived.rfind(EVENT_END)
+        if end < 0:
+            self._hold(arrived)
+            return b''
+        end += len(EVENT_END)
+        whole = arrived[:end]
+        self._hold(arrived[end:])
+        for event in whole.split(EVENT_END)[:-1]:
+            self._note(event)
+        return whole
+
+    def drop_partial(self) -> None:
+        """Forget a piece of an event that broke off."""
+        self._held = b''
+
+    def _hold(self, piece: bytes) -> None:
+        if len(piece) > HELD_BYTES_MOST:
+            raise BackendError(Code.backend_error, 'an event is too large')
+        self._held = piece
+
+    def _note(self, event: bytes) -> None:
+        self._count += 1
+        for line in event.split(b'\n'):
+            if line.startswith(ID_FIELD):
+                self._last_id = line[len(ID_FIELD) :].strip().decode('latin-1')
--- a/src/siskinpass/request/ticket.py
+++ b/src/siskinpass/request/ticket.py
@@ -4,6 +4,7 @@
 process is an age or a remaining time, never a clock reading.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from siskinpass.codes import Code
@@ -27,6 +28,9 @@
     :param resumed: whether some tokens were already delivered.
     :param avoid: backend server that just failed for this request.
     :param token_s: target of the mean time between tokens, 0 for none.
+    :param work: expected load on the backend server, in prompt tokens.
+    :param prompt_work: part of the work that ends with the first token.
+    :param is_tight: whether the stream needs servers without long prompts.
     """
 
     ticket_id: str
@@ -43,6 +47,9 @@
     resumed: bool = False
     avoid: str = ''
     token_s: float = 0.0
+    work: float = 0.0
+    prompt_work: float = 0.0
+    is_tight: bool = False
 
     @property
     def due_s(self) -> float:
@@ -64,6 +71,8 @@
     :param pool: pool that it belongs to.
     :param zone: availability zone.
     :param leaving: whether it must get nothing new.
+    :param slots: requests that it runs at once, 0 where that is not known.
+    :param incarnation: start of its process in Unix ms, 0 where unknown.
     """
 
     name: str
@@ -71,6 +80,8 @@
     pool: str
     zone: str = ''
     leaving: bool = False
+    slots: int = 0
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +134,32 @@
     count: int = 1
 
 
+@dataclass(frozen=True, slots=True)
+class PromptRead:
+    """The first token of a granted ticket came; its prompt was read."""
+
+    ticket_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """Sum up what one or more instances run on a backend server.
+
+    :param running: requests.
+    :param work: their work, in prompt tokens.
+    """
+
+    running: int = 0
+    work: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLoadsTold:
+    """The other instances told their loads; servers left out have none."""
+
+    loads: Mapping[str, ServerLoad]
+
+
 @dataclass(frozen=True, slots=True)
 class ServersListed:
     """The backend servers of the group changed."""
@@ -148,6 +185,8 @@
     | GrantReleased
     | GrantReported
     | TokensObserved
+    | PromptRead
+    | PeerLoadsTold
     | ServersListed
     | EntryLost
     | ClockTicked
