Place prompts by cost over a map of cached parts

Cause: rendezvous by the last shared part ignores what is cached, queues prompts at the engines without order, and lets prompts be read beside streams with a tight pause. Change: cost by unread tokens, cached parts, lane and trouble; lane sized by running tight streams; prompts paced in the lane.

--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -96,7 +96,10 @@
             return
         try:
             self._parser.feed_data(piece)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             self._fail(BackendError(Code.backend_error, str(error)))
             self._transport.abort()
             return
@@ -254,7 +257,10 @@
         kept = self._idle.get(address, [])
         while kept:
             connection = kept.pop()
-            if connection.is_open and connection.idle_until_s > self._loop.time():
+            if (
+                connection.is_open
+                and connection.idle_until_s > self._loop.time()
+            ):
                 return connection
             connection.cancel()
         return None
--- a/src/siskinpass/platform/config.py
+++ b/src/siskinpass/platform/config.py
@@ -115,9 +115,7 @@
 def _limits(row: Mapping[str, Any]) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
-        head_bytes=read_field(
-            row, 'max-header-bytes', int, default.head_bytes
-        ),
+        head_bytes=read_field(row, 'max-header-bytes', int, default.head_bytes),
         body_bytes=read_field(row, 'max-body-bytes', int, default.body_bytes),
         head_timeout_s=read_seconds(row, 'header-timeout-ms', 5000),
         idle_timeout_s=read_seconds(row, 'idle-timeout-ms', 60_000),
--- a/src/siskinpass/platform/headers.py
+++ b/src/siskinpass/platform/headers.py
@@ -118,7 +118,9 @@
         ('X-Kv-Backup', order.backup),
         ('Kv-From', order.copy_from),
     )
-    return [f'{name}: {text}'.encode('latin-1') for name, text in fields if text]
+    return [
+        f'{name}: {text}'.encode('latin-1') for name, text in fields if text
+    ]
 
 
 def _named_by_connection(found: dict[bytes, bytes]) -> frozenset[bytes]:
--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -1,85 +1,209 @@
-"""Choose backend servers by prompt affinity, bounded by load.
+"""Choose backend servers by what a request costs there.
 
-Pure logic. Each instance comes to the same order of servers for a shared
-prompt part by rendezvous hashing, so that engines find the part in their
-cache; a server that carries much more than the mean is passed over, as in
-consistent hashing with bounded loads. Streams with a tight pause get servers
-of their own, since a long prompt that is read beside them breaks their pauses.
+Pure logic, for services of model engines under bursts. The cost of a server
+is in prompt tokens that are read before or because of the request:
+
+- what the engine has yet to read for requests that are placed there,
+- what it has to read of this prompt, beyond what it has cached,
+- what each running request adds to the time of a generated token,
+- a penalty where streams with a tight pause and long prompts would share an
+  engine: a prompt that is read beside a stream stretches its pauses.
+
+A prompt part that is cached elsewhere weighs more than its reading takes, as
+each engine has memory for only a part of the shared prompts.
 """
 
 import math
-from collections.abc import Sequence
 from dataclasses import dataclass
 
-from siskinpass.process.placement import Server
+from siskinpass.process.placement import READ_TOKENS_S, Server, ServerTable
 from siskinpass.process.rendezvous import rank
 from siskinpass.request.ticket import Ticket
 
 
+LANE_SERVERS_LEAST = 3
+# A plain server that fails all requests counts as this many times full.
+PLAIN_TROUBLE = 3.0
+
+
 @dataclass(frozen=True, slots=True)
 class AffinityPolicy:
-    """Set how load bounds affinity.
-
-    :param load_factor: load over the mean up to which the preferred server is
-        taken; 1.5 to 2.5 earned the same in docs/design/platform.md.
-    :param load_slack: load in prompt tokens that is always allowed, about one
-        long request, so that an idle fleet keeps its affinity.
-    :param tight_fraction: servers kept for streams with a tight pause; 0.2
-        to 0.3 earned the most in docs/design/platform.md.
+    """Set the weights of the cost.
+
+    :param running_tokens: cost of one running request. On the sheets a step
+        takes 0.165 ms longer for it; over some 120 steps that is the time in
+        which an engine reads about 1,200 prompt tokens.
+    :param reread_factor: weight of tokens that another server has cached.
+    :param lane_penalty: cost of sharing an engine against the lanes, about
+        one second of reading.
+    :param lane_streams: streams with a tight pause for each engine of their
+        lane; with more, their own prompts stretch their pauses.
+    :param lane_most: part of the engines that the lane may take.
+    :param lane_hold_s: time in which an unused lane shrinks to about a third.
+    :param trouble_tokens: cost of a server that fails all requests.
+    :param long_tokens: prompts above this length do not belong in the lane.
+        An engine reads 4,096 tokens between two steps.
+    :param ahead_s: reading time that is placed on an engine ahead of a
+        request. What waits here instead keeps its order by tier and target.
+    :param tight_wait_s: wait of a stream with a tight pause after which its
+        lane grows; a part of the shortest target of the sheets.
+    :param unread_most: prompt tokens of a tier and those above it that an
+        engine may have unread, should it be slower than expected.
+    :param plain_overfull: requests for each slot of a plain service.
     """
 
-    load_factor: float = 1.5
-    load_slack: float = 20_000.0
-    tight_fraction: float = 0.25
+    running_tokens: float = 400.0
+    reread_factor: float = 10.0
+    lane_penalty: float = 500_000.0
+    lane_streams: int = 14
+    lane_most: float = 0.5
+    lane_hold_s: float = 5.0
+    trouble_tokens: float = 100_000.0
+    long_tokens: int = 4096
+    ahead_s: float = 0.25
+    tight_wait_s: float = 0.1
+    unread_most: int = 50_000
+    plain_overfull: float = 1.5
 
 
-@dataclass(frozen=True, slots=True)
 class AffinityChooser:
     """Choose a server for a ticket."""
 
-    policy: AffinityPolicy = AffinityPolicy()
-
-    def __call__(self, servers: Sequence[Server], ticket: Ticket) -> Server:
-        """Return the best of the servers with a free slot.
-
-        :param servers: at least one.
-        """
-        lane = self._lane(servers, ticket)
-        fresh = [one for one in lane if one.view.name != ticket.avoid]
-        lane = fresh or lane
-        if ticket.prefix:
-            preferred = self._preferred(lane, ticket)
-            if preferred is not None:
-                return preferred
-        return min(lane, key=_load)
-
-    def _lane(
+    def __init__(self, policy: AffinityPolicy | None = None) -> None:
+        """Keep the weights."""
+        self._policy = policy or AffinityPolicy()
+        self._lane = _LaneSize(self._policy)
+
+    def __call__(self, table: ServerTable, ticket: Ticket) -> Server | None:
+        """Return the cheapest server, none where the ticket should wait."""
+        free = table.open_servers()
+        fresh = [one for one in free if one.view.name != ticket.avoid]
+        servers = fresh or free
+        if not servers:
+            return None
+        if not ticket.pieces:
+            best = min(servers, key=_plain_cost)
+            return best if self._has_slot(best) else None
+        waited_s = table.now_s - ticket.opened_s
+        lane = self._lane.names(table)
+        cost = _PromptCost(self._policy, table, ticket, lane)
+        best = min(servers, key=cost.of)
+        return best if self._has_room(best, ticket, table.now_s) else None
+
+    def _has_slot(self, server: Server) -> bool:
+        slots = server.view.slots
+        return (
+            not slots
+            or server.load.running < slots * self._policy.plain_overfull
+        )
+
+    def _has_room(
         self,
-        servers: Sequence[Server],
+        server: Server,
         ticket: Ticket,
-    ) -> Sequence[Server]:
-        """Return the servers for the ticket's kind of pauses."""
-        if not ticket.prefix or len(servers) < 3:
-            return servers
-        by_name = {server.view.name: server for server in servers}
-        ordered = rank('', by_name)
-        count = math.ceil(self.policy.tight_fraction * len(ordered))
-        names = ordered[:count] if ticket.is_tight else ordered[count:]
-        return [by_name[name] for name in names]
-
-    def _preferred(
+        now_s: float,
+    ) -> bool:
+        """Tell whether the engine's backlog is short enough.
+
+        What waits here instead of at the engine keeps its order by target.
+        """
+        policy = self._policy
+        if server.load.unread_to(ticket.tier) > policy.unread_most:
+            return False
+        ahead_s = max(0.0, server.reads_until_s - now_s)
+        if ticket.is_tight:
+            # One prompt after the other stretches the streams' pauses least.
+            return server.paced_until_s <= now_s or now_s - ticket.opened_s > 0.1
+        return ahead_s <= policy.ahead_s
+
+
+class _LaneSize:
+    """Size the lane by the streams with a tight pause that run."""
+
+    def __init__(self, policy: AffinityPolicy) -> None:
+        """Start with the least lane."""
+        self._policy = policy
+        self._streams = 0.0
+        self._seen_s = 0.0
+        self._grown_s = 0.0
+
+    def names(self, table: ServerTable) -> frozenset[str]:
+        """Return the servers of the lane, none where there are too few."""
+        servers = table.open_servers()
+        if len(servers) < LANE_SERVERS_LEAST:
+            return frozenset()
+        tight = sum(server.load.tight for server in servers)
+        passed_s = table.now_s - self._seen_s
+        self._seen_s = table.now_s
+        held = self._streams * math.exp(-passed_s / self._policy.lane_hold_s)
+        self._streams = max(float(tight), held)
+        wanted = max(
+            round(0.25 * len(servers)),
+            math.ceil(self._streams / self._policy.lane_streams),
+        )
+        most = int(len(servers) * self._policy.lane_most)
+        ordered = rank('', [server.view.name for server in servers])
+        return frozenset(ordered[: max(1, min(wanted, most))])
+
+    def grow(self, table: ServerTable) -> None:
+        """Add a server, at most one in the time that a stream may wait."""
+        if table.now_s - self._grown_s < self._policy.tight_wait_s:
+            return
+        self._grown_s = table.now_s
+        used = math.ceil(self._streams / self._policy.lane_streams)
+        self._streams = float((max(1, used) + 1) * self._policy.lane_streams)
+
+
+class _PromptCost:
+    """Work out the cost of each server for one ticket."""
+
+    def __init__(
         self,
-        lane: Sequence[Server],
+        policy: AffinityPolicy,
+        table: ServerTable,
         ticket: Ticket,
-    ) -> Server | None:
-        by_name = {server.view.name: server for server in lane}
-        mean = sum(map(_load, lane)) / len(lane)
-        bound = self.policy.load_factor * mean + self.policy.load_slack
-        for name in rank(str(ticket.prefix), by_name):
-            if by_name[name].load <= bound:
-                return by_name[name]
-        return None
-
-
-def _load(server: Server) -> float:
-    return server.load
+        lane: frozenset[str],
+    ) -> None:
+        """Look up what each server has cached."""
+        self._policy = policy
+        self._ticket = ticket
+        self._lane = lane
+        self._now_s = table.now_s
+        self._cached = {
+            server.view.name: table.cache.cached(
+                server.view.name,
+                ticket.pieces,
+            )
+            for server in table.servers
+        }
+        self._most_cached = max(self._cached.values())
+
+    def of(self, server: Server) -> tuple[float, str]:
+        """Return the cost of a server, its name to break ties."""
+        policy = self._policy
+        name = server.view.name
+        cached = self._cached[name]
+        load = server.load
+        cost = sum(load.unread) + self._ticket.tokens_in - cached
+        cost += (self._most_cached - cached) * (policy.reread_factor - 1)
+        cost += load.running * policy.running_tokens
+        cost += server.trouble * policy.trouble_tokens
+        return cost + self._lane_cost(server), name
+
+    def _lane_cost(self, server: Server) -> float:
+        in_lane = server.view.name in self._lane
+        if not self._lane:
+            return 0.0
+        if self._ticket.is_tight:
+            # The pace differs from the load only for servers of the lane.
+            paced_s = max(0.0, server.paced_until_s - self._now_s)
+            pace = paced_s * READ_TOKENS_S
+            return pace if in_lane else pace + self._policy.lane_penalty
+        is_long = self._ticket.tokens_in > self._policy.long_tokens
+        return self._policy.lane_penalty if in_lane and is_long else 0.0
+
+
+def _plain_cost(server: Server) -> tuple[float, str]:
+    slots = max(1, server.view.slots)
+    cost = (server.load.running + 1) / slots
+    return cost + server.trouble * PLAIN_TROUBLE, server.view.name
--- a/src/siskinpass/process/broker.py
+++ b/src/siskinpass/process/broker.py
@@ -18,6 +18,8 @@
     Running,
     choose_moves,
     choose_pauses,
+    load_of,
+    unread_of,
 )
 from siskinpass.process.throughput import GrantRate
 from siskinpass.request.order import WaitingTickets
@@ -32,8 +34,10 @@
     Moved,
     Paused,
     PeerLoadsTold,
+    PromptPlaced,
     PromptRead,
     Refused,
+    ServerLoad,
     ServersListed,
     Ticket,
     TicketOpened,
@@ -43,6 +47,8 @@
 
 MS_PER_S = 1000
 LEAST_RETRY_MS = 200
+# A ticket whose server has a backlog does not hold up these behind it.
+LOOKED_AT = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +64,9 @@
     :param at_random: whether placement takes any server with a free slot.
     :param chooser: chooses among the servers with a free slot.
     :param moves: whether streams leave servers that became slow.
+    :param memory_tokens: tokens that the memory of each engine holds.
+    :param probe_after: failures in a row after which a server gets one
+        request at a time.
     """
 
     limit: LimitPolicy = field(default_factory=LimitPolicy)
@@ -68,6 +77,8 @@
     at_random: bool = False
     chooser: Chooser | None = None
     moves: bool = True
+    memory_tokens: int = 0
+    probe_after: int = 1
 
 
 class Broker:
@@ -80,6 +91,8 @@
             policy.limit,
             at_random=policy.at_random,
             chooser=policy.chooser,
+            memory_tokens=policy.memory_tokens,
+            probe_after=policy.probe_after,
         )
         self._waiting = WaitingTickets()
         self._running: dict[str, Running] = {}
@@ -155,7 +168,8 @@
         self._add_demand(held.ticket, -1)
         server = self._table.find(held.server)
         if server is not None:
-            server.finish(held.ticket, was_read=held.was_read)
+            server.add(-held.load)
+            server.note_outcome(in_trouble=event.failed or event.erred)
             server.note_end(self._now_s, failed=event.failed)
 
     @_take.register
@@ -168,22 +182,30 @@
         self._add_demand(ticket, 1)
         server = self._table.find(event.server)
         if server is not None:
-            server.start(ticket)
+            server.add(load_of(ticket, 0))
 
     @_take.register
     def _read_prompt(self, event: PromptRead) -> None:
         held = self._running.get(event.ticket_id)
-        if held is None or held.was_read:
+        if held is None:
             return
-        held.was_read = True
         server = self._table.find(held.server)
         if server is not None:
-            server.read_prompt(held.ticket)
+            read = unread_of(held.ticket, held.unread)
+            server.add(-ServerLoad(unread=read))
+        held.unread = 0
 
     @_take.register
     def _tell_peers(self, event: PeerLoadsTold) -> None:
         self._table.take_peer_loads(event.loads)
 
+    @_take.register
+    def _place(self, event: PromptPlaced) -> None:
+        self._table.cache.note(event.server, event.pieces)
+        server = self._table.find(event.server)
+        if server is not None:
+            server.expect_reading(event.unread, self._now_s)
+
     @_take.register
     def _observe(self, event: TokensObserved) -> None:
         server = self._table.find(event.server)
@@ -276,10 +298,10 @@
 
     def _dispatch_tier(self, tier: int) -> None:
         budget = self._free_for(tier)
-        while budget > 0 and tier in self._waiting.tiers:
-            if not self._grant(self._waiting.first(tier), owed=False):
+        for ticket in self._waiting.first_of(tier, LOOKED_AT):
+            if budget <= 0:
                 break
-            budget -= 1
+            budget -= self._grant(ticket, owed=False)
         if self._policy.pauses and tier in self._waiting.tiers:
             self._make_room(tier)
 
@@ -298,11 +320,24 @@
         self._waiting.pop(ticket.ticket_id)
         self._waiting.charge(ticket, owed=owed)
         name = server.view.name
-        self._running[ticket.ticket_id] = Running(ticket, name, protected=owed)
-        server.start(ticket)
+        cache = self._table.cache
+        unread = ticket.tokens_in - cache.cached(name, ticket.pieces)
+        cache.note(name, ticket.pieces)
+        held = Running(ticket, name, protected=owed, unread=unread)
+        self._running[ticket.ticket_id] = held
+        server.add(held.load)
+        server.expect_reading(unread, self._now_s)
         self._table.remember(ticket.prefix, name)
         self._rate.note(ticket.tier, self._now_s)
-        self._commands.append(Granted(ticket.ticket_id, ticket.entry, name))
+        self._commands.append(
+            Granted(
+                ticket.ticket_id,
+                ticket.entry,
+                name,
+                ticket.pieces,
+                unread,
+            ),
+        )
         return True
 
     def _make_room(self, tier: int) -> None:
--- a/src/siskinpass/process/fleet/answer.py
+++ b/src/siskinpass/process/fleet/answer.py
@@ -73,9 +73,8 @@
         self._streams = False
         self._fault = ''
         self._connection: BackendConnection | None = None
-        self.finished: asyncio.Future[Ended] = (
-            asyncio.get_running_loop().create_future()
-        )
+        self._loop = asyncio.get_running_loop()
+        self.finished: asyncio.Future[Ended] = self._loop.create_future()
 
     @property
     def has_begun(self) -> bool:
@@ -120,7 +119,7 @@
             self._body += piece
             return
         try:
-            events = self._tap.feed(piece)
+            events = self._tap.feed(piece, self._loop.time())
         except BackendError as error:
             self._break_off(str(error))
             return
--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -18,6 +18,7 @@
     Granted,
     GrantReleased,
     PeerLoadsTold,
+    PromptPlaced,
     PromptRead,
     Refused,
     ServerLoad,
@@ -28,9 +29,10 @@
 )
 
 # Waiting tickets are looked at this often; a refusal is late by as much.
-TICK_S = 0.05
+TICK_S = 0.02
 
 PolicyOf = Callable[[str], BrokerPolicy]
+OnPlaced = Callable[[PromptPlaced], None]
 
 
 @dataclass(slots=True)
@@ -45,11 +47,13 @@
     """Own one broker for each service.
 
     :param policy_of: returns how the broker of a service decides.
+    :param on_placed: told of each prompt that was placed on a server.
     """
 
-    def __init__(self, policy_of: PolicyOf) -> None:
+    def __init__(self, policy_of: PolicyOf, on_placed: OnPlaced) -> None:
         """Start without servers."""
         self._policy_of = policy_of
+        self._on_placed = on_placed
         self._loop = asyncio.get_running_loop()
         self._brokers: dict[str, Broker] = {}
         self._asked: dict[str, _Asked] = {}
@@ -59,12 +63,28 @@
     def loads(self) -> dict[str, ServerLoad]:
         """Return what this instance runs on each server."""
         return {
-            server.view.name: ServerLoad(server.running, server.work)
+            server.view.name: server.own
             for broker in self._brokers.values()
             for server in broker.table.servers
             if server.running
         }
 
+    def load_of(self, ticket: Ticket, server: str) -> ServerLoad:
+        """Return what all instances run on a server."""
+        found = self.broker(ticket.pool).table.find(server)
+        return found.load if found else ServerLoad()
+
+    def cached_most(self, ticket: Ticket) -> int:
+        """Return the most tokens of a prompt that any server has cached."""
+        table = self.broker(ticket.pool).table
+        return max(
+            (
+                table.cache.cached(server.view.name, ticket.pieces)
+                for server in table.servers
+            ),
+            default=0,
+        )
+
     @property
     def running(self) -> int:
         """Return how many requests run on backend servers."""
@@ -93,13 +113,21 @@
         """Take the prompt's work off the ticket's server."""
         self._apply(ticket.pool, PromptRead(ticket.ticket_id))
 
-    def release(self, ticket: Ticket, *, failed: bool) -> None:
+    def release(
+        self,
+        ticket: Ticket,
+        *,
+        failed: bool,
+        erred: bool = False,
+    ) -> None:
         """Give a slot back.
 
         :param failed: whether the server failed the request.
+        :param erred: whether it answered with an error of its own.
         """
         if self._asked.pop(ticket.ticket_id, None) is not None:
-            self._apply(ticket.pool, GrantReleased(ticket.ticket_id, failed))
+            released = GrantReleased(ticket.ticket_id, failed, erred)
+            self._apply(ticket.pool, released)
 
     def list_servers(self, views: Iterable[ServerView]) -> None:
         """Take the servers of all services."""
@@ -116,6 +144,12 @@
         for pool in self._brokers:
             self._apply(pool, PeerLoadsTold(loads))
 
+    def note_placed(self, placed: PromptPlaced) -> None:
+        """Take in a prompt that another instance placed."""
+        view = self._views.get(placed.server)
+        if view is not None:
+            self._apply(view.pool, placed)
+
     def broker(self, pool: str) -> Broker:
         """Return the broker of a service."""
         found = self._brokers.get(pool)
@@ -140,20 +174,28 @@
         if asked is None:
             return
         if isinstance(command, Granted):
-            self._grant(asked, command.server)
+            self._grant(asked, command)
         elif isinstance(command, Refused):
             self._asked.pop(command.ticket_id)
             self._refuse(asked, command)
 
-    def _grant(self, asked: _Asked, server: str) -> None:
-        view = self._views.get(server)
+    def _grant(self, asked: _Asked, command: Granted) -> None:
+        view = self._views.get(command.server)
         if asked.granted.done():
             return
         if view is None:
             self.release(asked.ticket, failed=False)
             asked.granted.set_exception(RefusedError(Code.no_backend_server))
-        else:
-            asked.granted.set_result(view)
+            return
+        if command.pieces:
+            self._on_placed(
+                PromptPlaced(
+                    command.server,
+                    command.pieces,
+                    command.unread,
+                )
+            )
+        asked.granted.set_result(view)
 
     def _refuse(self, asked: _Asked, command: Refused) -> None:
         if not asked.granted.done():
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -20,7 +20,6 @@
 from siskinpass.request.events import EventTap
 from siskinpass.request.inbound import (
     AnswerHead,
-    Call,
     SendOrder,
     WireRequest,
 )
@@ -140,6 +139,7 @@
         self._has_begun = False
         self._avoid = ''
         self._server = ''
+        self._ticket: Ticket | None = None
 
     async def run(self) -> None:
         """Answer it; a caller that left cancels this."""
@@ -160,6 +160,9 @@
 
     def begin(self, head: AnswerHead) -> None:
         """Pass on the head of a stream, once for all attempts."""
+        if self._ticket is not None:
+            self._tools.assigner.note_prompt_read(self._ticket)
+            self._ticket = None
         if not self._has_begun:
             self._has_begun = True
             self._caller.start_stream(head.status, head.headers)
@@ -195,7 +198,7 @@
         service = route.service_at(random.random())
         self._tools.note_request(service)
         if route.is_stream:
-            self._tap = EventTap()
+            self._tap = EventTap(self._started_s)
         plan = _Plan(route, workspace, service, ends_s, table)
         try:
             async with asyncio.timeout_at(ends_s):
@@ -224,18 +227,24 @@
         )
         view = await self._tools.assigner.acquire(ticket)
         self._server = view.name
-        failed = True
+        self._ticket = ticket
+        self._log_grant(ticket, view)
+        ended = None
         try:
             ended = await self._send(plan, ticket, view)
-            failed = ended.ending in {Ending.unsent, Ending.lost, Ending.cut}
-        except asyncio.CancelledError:
-            failed = False
-            raise
         finally:
-            self._tools.assigner.release(ticket, failed=failed)
+            self._release(ticket, ended)
         self._avoid = view.name
         return ended
 
+    def _release(self, ticket: Ticket, ended: Ended | None) -> None:
+        ending = ended.ending if ended else None
+        self._tools.assigner.release(
+            ticket,
+            failed=ending in {Ending.unsent, Ending.lost, Ending.cut},
+            erred=ending in {Ending.failed, Ending.declined},
+        )
+
     async def _send(
         self,
         plan: '_Plan',
@@ -301,14 +310,19 @@
         if self._has_begun:
             self._caller.end_stream()
         else:
-            self._caller.answer(ended.head.status, ended.head.headers, ended.body)
+            self._caller.answer(
+                ended.head.status, ended.head.headers, ended.body
+            )
         self._tools.metrics.answered('', 0)
+        self._log_end()
 
     def _finish(self, step: Step, ended: Ended) -> None:
         if self._has_begun or step is Step.cut:
             self._cut(Code.stream_cut)
         elif step is Step.pass_on:
-            self._caller.answer(ended.head.status, ended.head.headers, ended.body)
+            self._caller.answer(
+                ended.head.status, ended.head.headers, ended.body
+            )
         elif step is Step.tell_not_run:
             self._refuse(Code.no_backend_server)
         else:
@@ -344,7 +358,35 @@
             code=int(code),
             reason=code.name,
             server=self._server,
-            age_ms=int((_now_s() - self._started_s) * MS_PER_S),
+            age_ms=_ms_since(self._started_s),
+        )
+
+    def _log_grant(self, ticket: Ticket, view: ServerView) -> None:
+        load = self._tools.assigner.load_of(ticket, view.name)
+        self._tools.log.note(
+            'A request goes to a server.',
+            call=self._call.call_id,
+            route=ticket.node,
+            tier=ticket.tier,
+            server=view.name,
+            running=load.running,
+            tight=load.tight,
+            unread=sum(load.unread),
+            tokens=ticket.tokens_in,
+            parts=[(piece.key % 100003, piece.tokens) for piece in ticket.pieces],
+            waited_ms=_ms_since(ticket.opened_s),
+        )
+
+    def _log_end(self) -> None:
+        tap = self._tap
+        self._tools.log.note(
+            'A request was answered.',
+            call=self._call.call_id,
+            server=self._server,
+            first_ms=tap.first_ms if tap else 0,
+            pause_ms=tap.pause_ms if tap else 0,
+            events=tap.count if tap else 0,
+            age_ms=_ms_since(self._started_s),
         )
 
     def _log_step(self, plan: '_Plan', ended: Ended, step: Step) -> None:
@@ -358,7 +400,7 @@
             cause=ended.cause,
             status=ended.head.status if ended.head else 0,
             step=step.value,
-            age_ms=int((_now_s() - self._started_s) * MS_PER_S),
+            age_ms=_ms_since(self._started_s),
         )
 
     def _resume_after(self, route: Route) -> str:
@@ -397,5 +439,9 @@
 }
 
 
+def _ms_since(began_s: float) -> int:
+    return int((_now_s() - began_s) * MS_PER_S)
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/src/siskinpass/process/fleet/loads.py
+++ b/src/siskinpass/process/fleet/loads.py
@@ -1,15 +1,16 @@
 """Tell the other instances what this one runs on each backend server."""
 
 import asyncio
-import socket
 import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
+from itertools import starmap
+from typing import Any
 
 import orjson
 
 from siskinpass.process.logs import PartLog
-from siskinpass.request.ticket import ServerLoad
+from siskinpass.request.ticket import PromptPiece, PromptPlaced, ServerLoad
 
 TELL_EVERY_S = 0.1  # docs/design/platform.md: the sketch's interval
 REPEAT_EVERY_S = 1.0  # unchanged loads are told again, datagrams may be lost
@@ -53,11 +54,7 @@
         summed: dict[str, ServerLoad] = {}
         for report in self._reports.values():
             for server, load in report.loads.items():
-                known = summed.get(server, ServerLoad())
-                summed[server] = ServerLoad(
-                    known.running + load.running,
-                    known.work + load.work,
-                )
+                summed[server] = summed.get(server, ServerLoad()) + load
         return summed
 
 
@@ -68,6 +65,7 @@
     :param own_loads: returns what this instance runs.
     :param peers: returns the ``(ip, port)`` of the other instances.
     :param on_loads: takes what the others run, as often as it is told.
+    :param on_placed: takes each prompt that another instance placed.
     """
 
     def __init__(
@@ -76,12 +74,14 @@
         own_loads: Callable[[], Mapping[str, ServerLoad]],
         peers: Callable[[], Iterable[tuple[str, int]]],
         on_loads: Callable[[Mapping[str, ServerLoad]], None],
+        on_placed: Callable[[PromptPlaced], None],
     ) -> None:
         """Wait for the socket."""
         self._own = own
         self._own_loads = own_loads
         self._peers = peers
         self._on_loads = on_loads
+        self._on_placed = on_placed
         self._loop = asyncio.get_running_loop()
         self._heard = PeerLoads()
         self._log = PartLog('loads')
@@ -98,18 +98,33 @@
     def datagram_received(self, datagram: bytes, addr: object) -> None:
         """Take in one report."""
         try:
-            name, order, rows = orjson.loads(datagram)
+            told = orjson.loads(datagram)
+            if isinstance(told, dict):
+                self._on_placed(_decode_placed(told))
+                return
+            name, order, rows = told
             loads = {
-                server: ServerLoad(int(running), float(work))
-                for server, running, work in rows
+                server: ServerLoad(running, tight, tuple(unread))
+                for server, running, tight, unread in rows
             }
-        except (ValueError, TypeError) as error:
+        except (ValueError, TypeError, KeyError) as error:
             self._log.warn('A load report cannot be read.', cause=str(error))
             return
         report = PeerReport(order, self._loop.time(), loads)
         self._heard.hear(name, report)
         self._has_news = True
 
+    def tell_placed(self, placed: PromptPlaced) -> None:
+        """Tell at once of a prompt that this instance placed."""
+        pieces = [(piece.key, piece.tokens) for piece in placed.pieces]
+        self._send(
+            orjson.dumps({
+                'server': placed.server,
+                'pieces': pieces,
+                'unread': placed.unread,
+            })
+        )
+
     async def run(self) -> None:
         """Tell and take in reports at an even pace."""
         while True:
@@ -129,20 +144,16 @@
         self._told_s = now_s
         self._order += 1
         rows = [
-            (server, load.running, int(load.work))
+            (server, load.running, load.tight, load.unread)
             for server, load in loads.items()
         ]
-        datagram = orjson.dumps((self._own, self._order, rows))
+        self._send(orjson.dumps((self._own, self._order, rows)))
+
+    def _send(self, datagram: bytes) -> None:
         for address in self._peers():
             self._transport.sendto(datagram, address)
 
 
-def open_udp_socket(ip: str, port: int) -> socket.socket:
-    """Return a bound UDP socket.
-
-    :raises OSError: where the address is taken.
-    """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sock.setblocking(False)  # noqa: FBT003
-    sock.bind((ip, port))
-    return sock
+def _decode_placed(told: dict[str, Any]) -> PromptPlaced:
+    pieces = tuple(starmap(PromptPiece, told['pieces']))
+    return PromptPlaced(told['server'], pieces, told['unread'])
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -36,11 +36,15 @@
 from siskinpass.process.server_book import ServerBook
 from siskinpass.request.inbound import WireRequest
 from siskinpass.request.retry_window import RetryWindow
-from siskinpass.request.ticket import ServerView
+from siskinpass.request.ticket import PromptPlaced, ServerView
 from siskinpass.version.routes import CallerLimits, RouteTable
 
 NS_PER_MS = 1_000_000
 BACKLOG = 1024
+# One lost answer in twenty is ordinary on the sheets; three in a row are not.
+PROBE_AFTER = 3
+# The chooser bounds what a server gets, by all instances' loads.
+UNLIMITED = LimitPolicy(start=10_000, least=10_000, most=10_000)
 TICK_S = 0.1
 # The load reports' port follows that of the heartbeats.
 LOADS_PORT_STEP = 2
@@ -82,7 +86,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._most_instances = 1
         self._store = StoreClient(settings.store, self._note_store_call)
-        self._assigner = Assigner(self._policy_of)
+        self._assigner = Assigner(self._policy_of, self._tell_placed)
         bounds = settings.promises.retries
         self._budgets = RetryBudgets(
             partial(RetryWindow, bounds.ratio, bounds.slack, bounds.window_s),
@@ -111,6 +115,7 @@
             self._own_loads,
             self._peer_sockets,
             self._assigner.take_peer_loads,
+            self._assigner.note_placed,
         )
 
     async def run(self) -> None:
@@ -317,12 +322,14 @@
 
     def _policy_of(self, pool: str) -> BrokerPolicy:
         service = self._table.services.get(pool) if self._table else None
-        slots = service.engine.slots if service and service.engine else 64
+        engine = service.engine if service else None
         return BrokerPolicy(
-            LimitPolicy(start=slots, least=slots, most=slots),
+            UNLIMITED,
             pauses=False,
             chooser=AffinityChooser(),
             moves=False,
+            probe_after=PROBE_AFTER,
+            memory_tokens=engine.memory_tokens if engine else 0,
         )
 
     def _own_member(self) -> Member:
@@ -335,6 +342,9 @@
             incarnation=time.time_ns() // NS_PER_MS,
         )
 
+    def _tell_placed(self, placed: PromptPlaced) -> None:
+        self._loads.tell_placed(placed)
+
     def _own_loads(self):
         return self._assigner.loads
 
@@ -356,17 +366,23 @@
     def _count_instances(self) -> int:
         return self._most_instances
 
-    def _serve_readiness(self, caller: HttpCaller, request: WireRequest) -> None:
+    def _serve_readiness(
+        self, caller: HttpCaller, request: WireRequest
+    ) -> None:
         is_ready = self._ready.is_set() and not self._stopping.is_set()
         caller.answer(STATUS_OK if is_ready else STATUS_UNAVAILABLE)
 
     def _serve_metrics(self, caller: HttpCaller, request: WireRequest) -> None:
         self._metrics.state('running', self._assigner.running)
         self._metrics.state('waiting', self._assigner.waiting)
-        self._metrics.state('version', self._table.version if self._table else 0)
+        self._metrics.state(
+            'version', self._table.version if self._table else 0
+        )
         caller.answer(STATUS_OK, (TEXT,), self._metrics.render())
 
-    def _serve_directory(self, caller: HttpCaller, request: WireRequest) -> None:
+    def _serve_directory(
+        self, caller: HttpCaller, request: WireRequest
+    ) -> None:
         asked = directory.decode_question(request.target.decode('latin-1'))
         if asked is None:
             caller.answer(STATUS_NOT_FOUND)
--- a/src/siskinpass/process/fleet/serve.py
+++ b/src/siskinpass/process/fleet/serve.py
@@ -1,6 +1,5 @@
 """Run one entry instance of a fleet as a process."""
 
-import asyncio
 import os
 
 # The event loop's library may use io_uring for files; it must not.
--- a/src/siskinpass/process/fleet/store_client.py
+++ b/src/siskinpass/process/fleet/store_client.py
@@ -91,7 +91,9 @@
         self._note_call = note_call
         self._pool = BackendPool(asyncio.get_running_loop(), STORE_POOL)
 
-    async def list_kind(self, kind: str, *, stale: bool = False) -> objects.Page:
+    async def list_kind(
+        self, kind: str, *, stale: bool = False
+    ) -> objects.Page:
         """Return all objects of a kind and the revision to watch from.
 
         :param stale: whether an answer that is seconds old will do.
@@ -146,7 +148,9 @@
         :raises StoreUnconfirmedError: where the write may have happened.
         """
         path = objects.object_path(kind, name)
-        reply = await self._write('PUT', path, objects.encode_object(name, body))
+        reply = await self._write(
+            'PUT', path, objects.encode_object(name, body)
+        )
         _check(reply, objects.STATUS_OK, objects.STATUS_CREATED)
 
     async def delete(self, kind: str, name: str) -> None:
--- a/src/siskinpass/process/fleet/tickets.py
+++ b/src/siskinpass/process/fleet/tickets.py
@@ -5,20 +5,14 @@
 from typing import Protocol
 
 from siskinpass.request.inbound import Call, Prompt
-from siskinpass.request.ticket import Ticket
+from siskinpass.request.ticket import PromptPiece, Ticket
 from siskinpass.version.routes import Route, RouteTable
 
-# A generated token costs about as much engine time as ten prompt tokens: the
-# sheets' 0.165 ms a running request and step against 62 prompt tokens a ms.
-TOKEN_OUT_WORK = 10
-# A plain call takes one slot; its work is only compared with that of others.
-PLAIN_WORK = 1000.0
 URGENCY_MOST = 9
 KEY_BYTES = 8
-# A request waits for a server for at most this part of its target, so that a
-# refusal comes early enough to be served elsewhere.
-PATIENCE_PART = 0.5
-PATIENCE_LEAST_S = 0.25
+# A request waits for a server for at most this part of the time that its caller
+# waits: a late answer is worth less, but one that is refused is worth nothing.
+PATIENCE_PART = 0.4
 SHARE = 0.1
 
 
@@ -28,6 +22,7 @@
     route: Route
     service: str
     table: RouteTable
+    ends_s: float
 
     @property
     def tier(self) -> int:
@@ -56,7 +51,7 @@
     """Return the ticket of one attempt."""
     route = plan.route
     prompt = call.prompt
-    patience_s = max(PATIENCE_LEAST_S, route.target_s * PATIENCE_PART)
+    left_s = plan.ends_s - attempt.now_s
     return Ticket(
         ticket_id=attempt.ticket_id,
         entry='',
@@ -65,26 +60,21 @@
         tier=plan.tier,
         opened_s=attempt.now_s,
         target_s=route.target_s,
-        patience_s=patience_s,
+        patience_s=left_s * PATIENCE_PART,
         share=SHARE,
-        prefix=affinity_key(prompt),
+        pieces=pieces_of(prompt),
         pausable=False,
         avoid=attempt.avoid,
-        work=prompt.tokens_in + TOKEN_OUT_WORK * prompt.tokens_out
-        if prompt.tokens_in
-        else PLAIN_WORK,
-        prompt_work=float(prompt.tokens_in),
+        tokens_in=prompt.tokens_in,
         is_tight=is_tight(route, plan.table),
     )
 
 
-def affinity_key(prompt: Prompt) -> int:
-    """Return a hash of the last prompt part that is shared, 0 for none."""
-    shared = prompt.shared_parts
-    if not shared:
-        return 0
-    digest = hashlib.blake2b(shared[-1].key.encode(), digest_size=KEY_BYTES)
-    return int.from_bytes(digest.digest())
+def pieces_of(prompt: Prompt) -> tuple[PromptPiece, ...]:
+    """Return the parts of a prompt by hashes of their names."""
+    return tuple(
+        PromptPiece(_hash(part.key), part.tokens) for part in prompt.parts
+    )
 
 
 def is_tight(route: Route, table: RouteTable) -> bool:
@@ -100,3 +90,7 @@
     """Return the engine's urgency for a tier."""
     return min(URGENCY_MOST, max(0, tier))
 
+
+def _hash(key: str) -> int:
+    digest = hashlib.blake2b(key.encode(), digest_size=KEY_BYTES)
+    return int.from_bytes(digest.digest())
--- a/src/siskinpass/process/placement.py
+++ b/src/siskinpass/process/placement.py
@@ -7,9 +7,10 @@
 import hashlib
 import statistics
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 
+from siskinpass.process.cache_map import CacheMap
 from siskinpass.process.limits import LimitPolicy, SlotLimit
 from siskinpass.request.ticket import ServerLoad, ServerView, Ticket
 
@@ -21,6 +22,14 @@
 PREFIXES_KEPT = 4096
 AFFINITY_SLOTS = 2
 AVOIDED_PENALTY = 4.0
+NO_LOAD = ServerLoad()
+# Prompt tokens that an engine reads in a second beside running streams; the
+# sheets state 56,000 and 62,400 without any.
+READ_TOKENS_S = 50_000
+# Prompt tokens a second at which prompts are read one by one also while an
+# engine is 2.5 times slower, as the sheets' engines are for 15% of the time.
+PACED_TOKENS_S = 20_000
+TROUBLE_SMOOTHING = 0.1  # about the last ten outcomes
 
 
 @dataclass(slots=True)
@@ -33,30 +42,33 @@
     slow: bool = False
     failures: int = 0
     shunned_until_s: float = 0.0
-    work: float = 0.0
-    peers: ServerLoad = ServerLoad()
+    own: ServerLoad = NO_LOAD
+    peers: ServerLoad = NO_LOAD
+    reads_until_s: float = 0.0
+    paced_until_s: float = 0.0
+    trouble: float = 0.0
+    probe_after: int = 1
 
     @property
-    def load(self) -> float:
-        """Return the work of all instances on it, in prompt tokens."""
-        return self.work + self.peers.work
-
-    def start(self, ticket: Ticket) -> None:
-        """Count a granted ticket."""
-        self.running += 1
-        self.work += ticket.work
-
-    def read_prompt(self, ticket: Ticket) -> None:
-        """Count the prompt of a granted ticket as done."""
-        self.work -= ticket.prompt_work
-
-    def finish(self, ticket: Ticket, *, was_read: bool) -> None:
-        """Take a ticket off.
-
-        :param was_read: whether its prompt was counted as done.
-        """
-        self.running -= 1
-        self.work -= ticket.work - (ticket.prompt_work if was_read else 0)
+    def load(self) -> ServerLoad:
+        """Return what all instances run on it."""
+        return self.own + self.peers
+
+    def add(self, step: ServerLoad) -> None:
+        """Count a step of this instance's load, negative for what ended."""
+        self.running += step.running
+        self.own += step
+
+    def expect_reading(self, unread: int, now_s: float) -> None:
+        """Count the time that a placed prompt takes to be read."""
+        began_s = max(now_s, self.reads_until_s)
+        self.reads_until_s = began_s + unread / READ_TOKENS_S
+        began_s = max(now_s, self.paced_until_s)
+        self.paced_until_s = began_s + unread / PACED_TOKENS_S
+
+    def note_outcome(self, *, in_trouble: bool) -> None:
+        """Follow the part of requests that failed here."""
+        self.trouble += TROUBLE_SMOOTHING * (in_trouble - self.trouble)
 
     def note_end(self, now_s: float, *, failed: bool) -> None:
         """Shun a server that failed, longer with each failure in a row."""
@@ -64,6 +76,8 @@
             self.failures = 0
             return
         self.failures = min(self.failures + 1, FAILURES_COUNTED)
+        if self.failures < self.probe_after:
+            return
         shun_s = SHUN_S * 2 ** (self.failures - 1)
         self.shunned_until_s = now_s + shun_s
 
@@ -71,7 +85,7 @@
         """Return how many more requests it may get."""
         if self.view.leaving or now_s < self.shunned_until_s:
             return 0
-        if self.failures:
+        if self.failures >= self.probe_after:
             # One request at a time probes a server that has failed.
             return 1 - self.running
         slots = self.limit.slots
@@ -81,7 +95,7 @@
         return slots - self.running
 
 
-Chooser = Callable[[Sequence[Server], Ticket], Server]
+Chooser = Callable[['ServerTable', Ticket], Server | None]
 
 
 class ServerTable:
@@ -93,15 +107,23 @@
         *,
         at_random: bool,
         chooser: Chooser | None = None,
+        memory_tokens: int = 0,
+        probe_after: int = 1,
     ) -> None:
         """Start without servers.
 
         :param at_random: place without regard to load and speed.
         :param chooser: chooses among the servers with a free slot, in place
             of the cost by slots and speed.
+        :param memory_tokens: tokens that each engine's memory holds.
+        :param probe_after: failures in a row after which a server gets one
+            request at a time.
         """
         self._policy = policy
         self._chooser = chooser
+        self.now_s = 0.0
+        self._probe_after = probe_after
+        self.cache = CacheMap(memory_tokens)
         self._at_random = at_random
         self._servers: dict[str, Server] = {}
         self._prefixes: OrderedDict[int, str] = OrderedDict()
@@ -146,8 +168,14 @@
         listed = {view.name: view for view in views}
         for name, view in sorted(listed.items()):
             known = self._servers.get(name)
+            if known is None or known.view.incarnation != view.incarnation:
+                self.cache.forget(name)
             if known is None:
-                self._servers[name] = Server(view, SlotLimit(self._policy))
+                self._servers[name] = Server(
+                    view,
+                    SlotLimit(self._policy),
+                    probe_after=self._probe_after,
+                )
             else:
                 known.view = view
         for gone in self._servers.keys() - listed.keys():
@@ -156,11 +184,20 @@
                 _mark_leaving(server)
             else:
                 self._servers.pop(gone)
+                self.cache.forget(gone)
+
+    def open_servers(self) -> list[Server]:
+        """Return the servers that may get a request now."""
+        return [
+            server
+            for server in self._servers.values()
+            if server.free_slots(self.now_s) > 0
+        ]
 
     def take_peer_loads(self, loads: Mapping[str, ServerLoad]) -> None:
         """Take what the other instances run on each server."""
         for name, server in self._servers.items():
-            server.peers = loads.get(name, ServerLoad())
+            server.peers = loads.get(name, NO_LOAD)
 
     def mark_slow(self, now_s: float) -> None:
         """Set aside the servers that are much slower than the median."""
@@ -183,13 +220,9 @@
 
     def choose(self, ticket: Ticket, now_s: float) -> Server | None:
         """Return the best server with a free slot, or none."""
+        self.now_s = now_s
         if self._chooser is not None:
-            free = [
-                server
-                for server in self._servers.values()
-                if server.free_slots(now_s) > 0
-            ]
-            return self._chooser(free, ticket) if free else None
+            return self._chooser(self, ticket)
         best = None
         best_cost = float('inf')
         holder = self._prefixes.get(ticket.prefix) if ticket.prefix else None
--- a/src/siskinpass/process/preemption.py
+++ b/src/siskinpass/process/preemption.py
@@ -7,25 +7,44 @@
 from dataclasses import dataclass
 
 from siskinpass.process.placement import Server, ServerTable
-from siskinpass.request.ticket import Ticket
+from siskinpass.request.ticket import ServerLoad, Ticket
 
 MOST_PAUSES_AT_ONCE = 8
 
 
+MOST_TIERS = 10  # tiers beyond it share the last place of a load
+
+
+def load_of(ticket: Ticket, unread: int) -> ServerLoad:
+    """Return the load of a ticket with a number of unread tokens."""
+    return ServerLoad(1, int(ticket.is_tight), unread_of(ticket, unread))
+
+
+def unread_of(ticket: Ticket, unread: int) -> tuple[int, ...]:
+    """Return unread tokens at the place of the ticket's tier."""
+    tier = min(max(0, ticket.tier), MOST_TIERS - 1)
+    return (*(0 for _ in range(tier)), unread)
+
+
 @dataclass(slots=True)
 class Running:
     """Hold one granted slot.
 
     :param protected: granted by the share of its tier, so never paused.
     :param ending: told to pause or to move; its slot is not free yet.
-    :param was_read: whether its prompt was read.
+    :param unread: prompt tokens that its server has yet to read.
     """
 
     ticket: Ticket
     server: str
     protected: bool = False
     ending: bool = False
-    was_read: bool = False
+    unread: int = 0
+
+    @property
+    def load(self) -> ServerLoad:
+        """Return what it adds to its server."""
+        return load_of(self.ticket, self.unread)
 
 
 def choose_pauses(
--- a/src/siskinpass/request/events.py
+++ b/src/siskinpass/request/events.py
@@ -9,14 +9,22 @@
 
 EVENT_END = b'\n\n'
 ID_FIELD = b'id:'
+MS_PER_S = 1000
 HELD_BYTES_MOST = 262_144  # far above any event; bounds the memory of a stream
 
 
 class EventTap:
     """Cut a stream into whole events and keep the id of the last."""
 
-    def __init__(self) -> None:
-        """Start before the first event."""
+    def __init__(self, began_s: float = 0.0) -> None:
+        """Start before the first event.
+
+        :param began_s: when the request arrived.
+        """
+        self._began_s = began_s
+        self._last_s = 0.0
+        self._first_s = 0.0
+        self._pause_s = 0.0
         self._held = b''
         self._last_id = ''
         self._count = 0
@@ -36,9 +44,20 @@
         """Return whether no piece of an event is held back."""
         return not self._held
 
-    def feed(self, piece: bytes) -> bytes:
+    @property
+    def first_ms(self) -> int:
+        """Return the time from the request to the first event, in ms."""
+        return int(self._first_s * MS_PER_S)
+
+    @property
+    def pause_ms(self) -> int:
+        """Return the longest time between events, in ms."""
+        return int(self._pause_s * MS_PER_S)
+
+    def feed(self, piece: bytes, now_s: float = 0.0) -> bytes:
         """Take in bytes and return the whole events among them.
 
+        :param now_s: the clock in seconds.
         :raises BackendError: where an event is too large.
         """
         arrived = self._held + piece
@@ -51,6 +70,7 @@
         self._hold(arrived[end:])
         for event in whole.split(EVENT_END)[:-1]:
             self._note(event)
+        self._follow_time(now_s)
         return whole
 
     def drop_partial(self) -> None:
@@ -62,6 +82,13 @@
             raise BackendError(Code.backend_error, 'an event is too large')
         self._held = piece
 
+    def _follow_time(self, now_s: float) -> None:
+        if self._last_s:
+            self._pause_s = max(self._pause_s, now_s - self._last_s)
+        else:
+            self._first_s = now_s - self._began_s
+        self._last_s = now_s
+
     def _note(self, event: bytes) -> None:
         self._count += 1
         for line in event.split(b'\n'):
--- a/src/siskinpass/request/order.py
+++ b/src/siskinpass/request/order.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Iterator
+from itertools import chain, islice
 
 from sortedcontainers import SortedDict
 
@@ -54,6 +55,11 @@
         queue = self._timely or self._late
         return queue.peekitem(0)[1]
 
+    def first_of(self, count: int) -> list[Ticket]:
+        """Return the tickets to serve next, in order."""
+        ordered = chain(self._timely.values(), self._late.values())
+        return list(islice(ordered, count))
+
     def last(self) -> Ticket:
         """Return the ticket to serve last."""
         queue = self._late or self._timely
@@ -123,6 +129,11 @@
         """Return the next ticket of a tier."""
         return self._tiers[tier].first()
 
+    def first_of(self, tier: int, count: int) -> list[Ticket]:
+        """Return the next tickets of a tier, in order."""
+        queue = self._tiers.get(tier)
+        return queue.first_of(count) if queue else []
+
     def lowest(self) -> Ticket | None:
         """Return the ticket to shed first, never a stream that has begun."""
         for tier in reversed(self.tiers):
--- a/src/siskinpass/request/ticket.py
+++ b/src/siskinpass/request/ticket.py
@@ -6,10 +6,22 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from itertools import zip_longest
 
 from siskinpass.codes import Code
 
 
+@dataclass(frozen=True, slots=True)
+class PromptPiece:
+    """Name one part of a prompt.
+
+    :param key: the same for all prompts that share this part.
+    """
+
+    key: int
+    tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class Ticket:
     """Ask for one slot on a backend server.
@@ -28,8 +40,8 @@
     :param resumed: whether some tokens were already delivered.
     :param avoid: backend server that just failed for this request.
     :param token_s: target of the mean time between tokens, 0 for none.
-    :param work: expected load on the backend server, in prompt tokens.
-    :param prompt_work: part of the work that ends with the first token.
+    :param pieces: parts of the prompt, each sharable with those before it.
+    :param tokens_in: length of the prompt.
     :param is_tight: whether the stream needs servers without long prompts.
     """
 
@@ -47,8 +59,8 @@
     resumed: bool = False
     avoid: str = ''
     token_s: float = 0.0
-    work: float = 0.0
-    prompt_work: float = 0.0
+    pieces: tuple[PromptPiece, ...] = ()
+    tokens_in: int = 0
     is_tight: bool = False
 
     @property
@@ -104,10 +116,12 @@
 
     :param ticket_id: ticket that held the slot.
     :param failed: whether the backend server failed the request.
+    :param erred: whether it answered, but with an error of its own.
     """
 
     ticket_id: str
     failed: bool = False
+    erred: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,11 +160,35 @@
     """Sum up what one or more instances run on a backend server.
 
     :param running: requests.
-    :param work: their work, in prompt tokens.
+    :param tight: those among them that are streams with a tight pause.
+    :param unread: prompt tokens that are placed there and not read yet, by
+        tier from the most urgent on.
     """
 
     running: int = 0
-    work: float = 0.0
+    tight: int = 0
+    unread: tuple[int, ...] = ()
+
+    def __add__(self, other: 'ServerLoad') -> 'ServerLoad':
+        """Return the sum of two loads."""
+        pairs = zip_longest(self.unread, other.unread, fillvalue=0)
+        return ServerLoad(
+            self.running + other.running,
+            self.tight + other.tight,
+            tuple(map(sum, pairs)),
+        )
+
+    def __neg__(self) -> 'ServerLoad':
+        """Return the load that takes this one off."""
+        return ServerLoad(
+            -self.running,
+            -self.tight,
+            tuple(-tokens for tokens in self.unread),
+        )
+
+    def unread_to(self, tier: int) -> int:
+        """Return the unread tokens of a tier and those above it."""
+        return sum(self.unread[: tier + 1])
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +198,18 @@
     loads: Mapping[str, ServerLoad]
 
 
+@dataclass(frozen=True, slots=True)
+class PromptPlaced:
+    """Another instance placed a prompt on a server.
+
+    :param unread: tokens of it that the server had yet to read.
+    """
+
+    server: str
+    pieces: tuple[PromptPiece, ...]
+    unread: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class ServersListed:
     """The backend servers of the group changed."""
@@ -187,6 +237,7 @@
     | TokensObserved
     | PromptRead
     | PeerLoadsTold
+    | PromptPlaced
     | ServersListed
     | EntryLost
     | ClockTicked
@@ -195,11 +246,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Granted:
-    """A ticket may use one slot of a backend server."""
+    """A ticket may use one slot of a backend server.
+
+    :param pieces: parts of its prompt, which the server will have cached.
+    :param unread: tokens of it that the server has to read.
+    """
 
     ticket_id: str
     entry: str
     server: str
+    pieces: tuple[PromptPiece, ...] = ()
+    unread: int = 0
 
 
 @dataclass(frozen=True, slots=True)
