--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -1,6 +1,7 @@
 """Own one connection to a backend server."""
 
 import asyncio
+import socket
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -84,8 +85,14 @@
         self._fail(BackendError(Code.stream_cut, str(exc or '')))
 
     def eof_received(self) -> bool:
-        """End an answer that only the connection's end delimits."""
-        if self._ends_at_close:
+        """End an answer that only the connection's end delimits.
+
+        libuv reports a reset that arrives together with data as an end; the
+        socket still holds the error.
+        """
+        sock = self._transport.get_extra_info('socket')
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if self._ends_at_close and not error:
             self._end()
         return False
 
