--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -20,9 +20,10 @@
 IDLE_KEPT_MOST = 64
 STATUS_OK = 200
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
+SILENT_MS = 3000
 # A backend server that acknowledges nothing for as long as callers wait for
 # the next event of a stream is as good as gone.
-BACKEND_TIMES = SocketTimes(idle_s=2, every_s=1, probes=2, user_ms=3000)
+BACKEND_TIMES = SocketTimes(idle_s=2, every_s=1, probes=2, user_ms=SILENT_MS)
 
 
 class AnswerSink(Protocol):
--- a/src/siskinpass/connection/http_caller.py
+++ b/src/siskinpass/connection/http_caller.py
@@ -32,6 +32,75 @@
 Serve = Callable[['HttpCaller', WireRequest], None]
 
 
+class RequestCollector:
+    """Collect the requests that httptools parses."""
+
+    def __init__(self, ask_continue: Callable[[], None]) -> None:
+        """Start without a request.
+
+        :param ask_continue: lets a caller send the body that it holds back.
+        """
+        self._ask_continue = ask_continue
+        self._parser = httptools.HttpRequestParser(self)
+        self._headers: list[Header] = []
+        self._target = bytearray()
+        self.whole: deque[WireRequest] = deque()
+        self.body = bytearray()
+        self.in_head = False
+        self.received = 0
+
+    def feed(self, piece: bytes) -> Code | None:
+        """Take in bytes and return what is wrong with them, if anything."""
+        self.received += len(piece)
+        try:
+            self._parser.feed_data(piece)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            return Code.malformed_head
+        return None
+
+    def on_message_begin(self) -> None:
+        """Start to collect a request."""
+        self._headers = []
+        self._target = bytearray()
+        self.body = bytearray()
+        self.in_head = True
+
+    def on_url(self, piece: bytes) -> None:
+        """Collect the target."""
+        self._target += piece
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Collect one header."""
+        self._headers.append((name, text))
+
+    def on_headers_complete(self) -> None:
+        """Go on with the body."""
+        self.in_head = False
+        if any(
+            name.lower() == b'expect' and text.lower() == b'100-continue'
+            for name, text in self._headers
+        ):
+            self._ask_continue()
+
+    def on_body(self, piece: bytes) -> None:
+        """Collect the body."""
+        self.body += piece
+
+    def on_message_complete(self) -> None:
+        """Keep a whole request until those before it are answered."""
+        self.received = 0
+        self.whole.append(
+            WireRequest(
+                self._parser.get_method(),
+                bytes(self._target),
+                tuple(self._headers),
+                bytes(self.body),
+                keeps_open=self._parser.should_keep_alive(),
+            ),
+        )
+        self.body = bytearray()
+
+
 class HttpCaller(asyncio.Protocol):
     """Read whole requests and write answers, one after the other.
 
@@ -48,13 +117,11 @@
         loop = asyncio.get_running_loop()
         self._limits = limits
         self._serve = serve
-        self._parser = httptools.HttpRequestParser(self)
+        self._collector = RequestCollector(self._ask_continue)
         self._deadline = Deadline(loop, self._expire)
-        self._whole: deque[WireRequest] = deque()
         self._fault: Code | None = None
         self._method = b''
         self._keeps = True
-        self._clear()
         self.is_busy = False
         self.is_leaving = False
         self.arrived_s = 0.0
@@ -69,7 +136,7 @@
     @property
     def is_idle(self) -> bool:
         """Return whether no part of a request has arrived."""
-        return not (self.is_busy or self._received)
+        return not (self.is_busy or self._collector.received)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to wait for a head."""
@@ -90,14 +157,12 @@
 
     def data_received(self, piece: bytes) -> None:
         """Take in bytes."""
-        if not self.is_busy and not self._received:
+        if not self.is_busy and not self._collector.received:
             self._deadline.start(self._limits().head_timeout_s)
-        self._received += len(piece)
-        try:
-            self._parser.feed_data(piece)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._fault = Code.malformed_head
+        self._fault = self._collector.feed(piece) or self._fault
         self._check_bounds()
+        if len(self._collector.whole) > PIPELINED_MOST:
+            self._transport.pause_reading()
         if not self.is_busy:
             self._start_next()
 
@@ -113,47 +178,6 @@
         if self.on_flow is not None:
             self.on_flow(on=True)
 
-    def on_message_begin(self) -> None:
-        """Start to collect a request."""
-        self._clear()
-        self._in_head = True
-
-    def on_url(self, piece: bytes) -> None:
-        """Collect the target."""
-        self._target += piece
-
-    def on_header(self, name: bytes, text: bytes) -> None:
-        """Collect one header."""
-        self._headers.append((name, text))
-
-    def on_headers_complete(self) -> None:
-        """Go on with the body."""
-        self._in_head = False
-        if any(
-            name.lower() == b'expect' and text.lower() == b'100-continue'
-            for name, text in self._headers
-        ):
-            self._transport.write(CONTINUE)
-
-    def on_body(self, piece: bytes) -> None:
-        """Collect the body."""
-        self._body += piece
-
-    def on_message_complete(self) -> None:
-        """Keep a whole request until those before it are answered."""
-        self._received = 0
-        self._whole.append(
-            WireRequest(
-                self._parser.get_method(),
-                bytes(self._target),
-                tuple(self._headers),
-                bytes(self._body),
-                keeps_open=self._parser.should_keep_alive(),
-            ),
-        )
-        if len(self._whole) > PIPELINED_MOST:
-            self._transport.pause_reading()
-
     def answer(
         self,
         status: int,
@@ -202,16 +226,19 @@
 
     def _check_bounds(self) -> None:
         limits = self._limits()
-        if len(self._body) > limits.body_bytes:
+        if len(self._collector.body) > limits.body_bytes:
             self._fault = Code.body_too_large
-        elif self._in_head and self._received > limits.head_bytes:
+        elif (
+            self._collector.in_head
+            and self._collector.received > limits.head_bytes
+        ):
             self._fault = Code.header_too_large
 
     def _start_next(self) -> None:
-        if self._whole:
+        if self._collector.whole:
             self._deadline.clear()
             self.is_busy = True
-            request = self._whole.popleft()
+            request = self._collector.whole.popleft()
             self._method = request.method
             self._keeps = request.keeps_open
             self.arrived_s = asyncio.get_running_loop().time()
@@ -225,12 +252,9 @@
         meaning = MEANINGS[code]
         self.answer(meaning.status, (), meaning.text.encode())
 
-    def _clear(self) -> None:
-        self._in_head = False
-        self._received = 0
-        self._target = bytearray()
-        self._headers: list[Header] = []
-        self._body = bytearray()
+    def _ask_continue(self) -> None:
+        if not self.is_busy:
+            self._transport.write(CONTINUE)
 
     def _keeps_open(self) -> bool:
         return self._keeps and not self.is_leaving
@@ -243,7 +267,7 @@
             self._transport.close()
             return
         self._deadline.start(self._limits().idle_timeout_s)
-        if self._whole or self._fault is not None:
+        if self._collector.whole or self._fault is not None:
             self._transport.resume_reading()
             asyncio.get_running_loop().call_soon(self._start_waiting)
 
@@ -254,7 +278,7 @@
     def _expire(self) -> None:
         if self.is_busy:
             self._transport.abort()
-        elif self._received:
+        elif self._collector.received:
             self._refuse(Code.slow_sender)
         else:
             self._transport.close()
--- a/src/siskinpass/platform/boot.py
+++ b/src/siskinpass/platform/boot.py
@@ -8,7 +8,12 @@
 
 from siskinpass.codes import Code
 from siskinpass.exceptions import FormatError, SettingsError
-from siskinpass.platform.fields import NUMBER, read_field, read_seconds
+from siskinpass.platform.fields import (
+    MS_PER_S,
+    NUMBER,
+    read_field,
+    read_seconds,
+)
 from siskinpass.process.fleet.settings import (
     FleetSettings,
     Promises,
@@ -62,14 +67,28 @@
 
 
 def _promises(bounds: Mapping[str, Any]) -> Promises:
+    default = Promises()
+    retries = default.retries
     return Promises(
-        drain_s=read_seconds(bounds, 'drain-ms', 2000),
-        grace_s=float(read_field(bounds, 'grace-s', NUMBER, 8)),
-        config_s=read_seconds(bounds, 'config-apply-ms', 2000),
-        directory_s=float(read_field(bounds, 'ttl_max_s', NUMBER, 5)),
+        drain_s=_milliseconds(bounds, 'drain-ms', default.drain_s),
+        grace_s=_number(bounds, 'grace-s', default.grace_s),
+        config_s=_milliseconds(bounds, 'config-apply-ms', default.config_s),
+        directory_s=_number(bounds, 'ttl_max_s', default.directory_s),
         retries=RetryBounds(
-            ratio=float(read_field(bounds, 'retry-budget-ratio', NUMBER, 0.2)),
-            window_s=float(read_field(bounds, 'retry-window-s', NUMBER, 10)),
-            slack=float(read_field(bounds, 'retry-slack', NUMBER, 50)),
+            ratio=_number(bounds, 'retry-budget-ratio', retries.ratio),
+            window_s=_number(bounds, 'retry-window-s', retries.window_s),
+            slack=_number(bounds, 'retry-slack', retries.slack),
         ),
     )
+
+
+def _number(bounds: Mapping[str, Any], name: str, default: float) -> float:
+    return float(read_field(bounds, name, NUMBER, default))
+
+
+def _milliseconds(
+    bounds: Mapping[str, Any],
+    name: str,
+    default_s: float,
+) -> float:
+    return read_seconds(bounds, name, default_s * MS_PER_S)
--- a/src/siskinpass/platform/config.py
+++ b/src/siskinpass/platform/config.py
@@ -1,6 +1,7 @@
 """Decode the operator's configuration into a routing table."""
 
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any
 
 from siskinpass.codes import Code
@@ -24,12 +25,15 @@
 
 CONFIG_KIND = 'config'
 CONFIG_NAME = 'main'
-REPEATS = {
+REPEATS = MappingProxyType({
     'safe': Repeat.idempotent,
     'unsafe': Repeat.once,
     'stream': Repeat.stream,
-}
+})
 DEFAULT_CONNECTIONS = 100
+# Used where a configuration states none.
+HEAD_TIMEOUT_MS = 5000
+IDLE_TIMEOUT_MS = 60_000
 
 
 def decode_config(spec: Mapping[str, Any]) -> RouteTable:
@@ -117,8 +121,8 @@
     return CallerLimits(
         head_bytes=read_field(row, 'max-header-bytes', int, default.head_bytes),
         body_bytes=read_field(row, 'max-body-bytes', int, default.body_bytes),
-        head_timeout_s=read_seconds(row, 'header-timeout-ms', 5000),
-        idle_timeout_s=read_seconds(row, 'idle-timeout-ms', 60_000),
+        head_timeout_s=read_seconds(row, 'header-timeout-ms', HEAD_TIMEOUT_MS),
+        idle_timeout_s=read_seconds(row, 'idle-timeout-ms', IDLE_TIMEOUT_MS),
     )
 
 
--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -20,7 +20,6 @@
 from siskinpass.process.rendezvous import rank
 from siskinpass.request.ticket import Ticket
 
-
 LANE_SERVERS_LEAST = 3
 # A plain server that fails all requests counts as this many times full.
 PLAIN_TROUBLE = 3.0
@@ -38,6 +37,7 @@
         one second of reading.
     :param lane_streams: streams with a tight pause for each engine of their
         lane; with more, their own prompts stretch their pauses.
+    :param lane_least: part of the engines that the lane takes at least.
     :param lane_most: part of the engines that the lane may take.
     :param lane_hold_s: time in which an unused lane shrinks to about a third.
     :param trouble_tokens: cost of a server that fails all requests.
@@ -45,8 +45,8 @@
         An engine reads 4,096 tokens between two steps.
     :param ahead_s: reading time that is placed on an engine ahead of a
         request. What waits here instead keeps its order by tier and target.
-    :param tight_wait_s: wait of a stream with a tight pause after which its
-        lane grows; a part of the shortest target of the sheets.
+    :param tight_wait_s: longest time that a stream with a tight pause waits
+        for its prompt's turn; a fifth of the shortest target of the sheets.
     :param unread_most: prompt tokens of a tier and those above it that an
         engine may have unread, should it be slower than expected.
     :param plain_overfull: requests for each slot of a plain service.
@@ -56,6 +56,7 @@
     reread_factor: float = 10.0
     lane_penalty: float = 500_000.0
     lane_streams: int = 14
+    lane_least: float = 0.25
     lane_most: float = 0.5
     lane_hold_s: float = 5.0
     trouble_tokens: float = 100_000.0
@@ -84,7 +85,6 @@
         if not ticket.pieces:
             best = min(servers, key=_plain_cost)
             return best if self._has_slot(best) else None
-        waited_s = table.now_s - ticket.opened_s
         lane = self._lane.names(table)
         cost = _PromptCost(self._policy, table, ticket, lane)
         best = min(servers, key=cost.of)
@@ -113,7 +113,10 @@
         ahead_s = max(0.0, server.reads_until_s - now_s)
         if ticket.is_tight:
             # One prompt after the other stretches the streams' pauses least.
-            return server.paced_until_s <= now_s or now_s - ticket.opened_s > 0.1
+            return (
+                server.paced_until_s <= now_s
+                or now_s - ticket.opened_s > policy.tight_wait_s
+            )
         return ahead_s <= policy.ahead_s
 
 
@@ -125,7 +128,6 @@
         self._policy = policy
         self._streams = 0.0
         self._seen_s = 0.0
-        self._grown_s = 0.0
 
     def names(self, table: ServerTable) -> frozenset[str]:
         """Return the servers of the lane, none where there are too few."""
@@ -138,21 +140,13 @@
         held = self._streams * math.exp(-passed_s / self._policy.lane_hold_s)
         self._streams = max(float(tight), held)
         wanted = max(
-            round(0.25 * len(servers)),
+            round(self._policy.lane_least * len(servers)),
             math.ceil(self._streams / self._policy.lane_streams),
         )
         most = int(len(servers) * self._policy.lane_most)
         ordered = rank('', [server.view.name for server in servers])
         return frozenset(ordered[: max(1, min(wanted, most))])
 
-    def grow(self, table: ServerTable) -> None:
-        """Add a server, at most one in the time that a stream may wait."""
-        if table.now_s - self._grown_s < self._policy.tight_wait_s:
-            return
-        self._grown_s = table.now_s
-        used = math.ceil(self._streams / self._policy.lane_streams)
-        self._streams = float((max(1, used) + 1) * self._policy.lane_streams)
-
 
 class _PromptCost:
     """Work out the cost of each server for one ticket."""
--- a/src/siskinpass/process/broker.py
+++ b/src/siskinpass/process/broker.py
@@ -5,22 +5,16 @@
 entry instances when the broker moves.
 """
 
-from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from functools import singledispatchmethod
 
 from siskinpass.codes import Code
 from siskinpass.process.demand import Demand
-from siskinpass.process.limits import LimitPolicy, Sample
+from siskinpass.process.grants import GrantBook
+from siskinpass.process.limits import LimitPolicy
 from siskinpass.process.placement import Chooser, ServerTable
-from siskinpass.process.preemption import (
-    Running,
-    choose_moves,
-    choose_pauses,
-    load_of,
-    unread_of,
-)
+from siskinpass.process.preemption import choose_moves, choose_pauses
 from siskinpass.process.throughput import GrantRate
 from siskinpass.request.order import WaitingTickets
 from siskinpass.request.ticket import (
@@ -31,18 +25,13 @@
     Granted,
     GrantReleased,
     GrantReported,
+    LoadEvent,
     Moved,
     Paused,
-    PeerLoadsTold,
-    PromptPlaced,
-    PromptRead,
     Refused,
-    ServerLoad,
-    ServersListed,
     Ticket,
     TicketOpened,
     TicketWithdrawn,
-    TokensObserved,
 )
 
 MS_PER_S = 1000
@@ -95,7 +84,7 @@
             probe_after=policy.probe_after,
         )
         self._waiting = WaitingTickets()
-        self._running: dict[str, Running] = {}
+        self._grants = GrantBook(self._table)
         self._demand = Demand()
         self._rate = GrantRate()
         self._commands: list[Command] = []
@@ -109,7 +98,7 @@
     @property
     def running(self) -> int:
         """Return how many slots are granted."""
-        return len(self._running)
+        return len(self._grants)
 
     @property
     def table(self) -> ServerTable:
@@ -145,7 +134,7 @@
     def _open(self, event: TicketOpened) -> None:
         ticket = event.ticket
         known = ticket.ticket_id in self._waiting
-        if known or ticket.ticket_id in self._running:
+        if known or ticket.ticket_id in self._grants:
             return
         if not self._policy.in_order:
             ticket = _without_order(ticket)
@@ -162,79 +151,28 @@
     @_take.register
     def _release(self, event: GrantReleased) -> None:
         self._withdraw(TicketWithdrawn(event.ticket_id))
-        held = self._running.pop(event.ticket_id, None)
-        if held is None:
-            return
-        self._add_demand(held.ticket, -1)
-        server = self._table.find(held.server)
-        if server is not None:
-            server.add(-held.load)
-            server.note_outcome(in_trouble=event.failed or event.erred)
-            server.note_end(self._now_s, failed=event.failed)
+        ticket = self._grants.end(event, self._now_s)
+        if ticket is not None:
+            self._add_demand(ticket, -1)
 
     @_take.register
     def _report(self, event: GrantReported) -> None:
         ticket = event.ticket
-        if ticket.ticket_id in self._running:
-            return
-        self._withdraw(TicketWithdrawn(ticket.ticket_id))
-        self._running[ticket.ticket_id] = Running(ticket, event.server)
-        self._add_demand(ticket, 1)
-        server = self._table.find(event.server)
-        if server is not None:
-            server.add(load_of(ticket, 0))
-
-    @_take.register
-    def _read_prompt(self, event: PromptRead) -> None:
-        held = self._running.get(event.ticket_id)
-        if held is None:
-            return
-        server = self._table.find(held.server)
-        if server is not None:
-            read = unread_of(held.ticket, held.unread)
-            server.add(-ServerLoad(unread=read))
-        held.unread = 0
-
-    @_take.register
-    def _tell_peers(self, event: PeerLoadsTold) -> None:
-        self._table.take_peer_loads(event.loads)
-
-    @_take.register
-    def _place(self, event: PromptPlaced) -> None:
-        self._table.cache.note(event.server, event.pieces)
-        server = self._table.find(event.server)
-        if server is not None:
-            server.expect_reading(event.unread, self._now_s)
-
-    @_take.register
-    def _observe(self, event: TokensObserved) -> None:
-        server = self._table.find(event.server)
-        if server is None:
-            return
-        server.limit.observe(
-            event.token_s,
-            event.first_s,
-            Sample(event.count, server.running, self._now_s),
-        )
+        if ticket.ticket_id not in self._grants:
+            self._withdraw(TicketWithdrawn(ticket.ticket_id))
+            self._grants.report(event)
+            self._add_demand(ticket, 1)
 
     @_take.register
-    def _list(self, event: ServersListed) -> None:
-        self._table.replace(event.servers)
-        counted = Counter(held.server for held in self._running.values())
-        for server in self._table.servers:
-            server.running = counted[server.view.name]
+    def _take_load(self, event: LoadEvent) -> None:
+        self._grants.take(event, self._now_s)
 
     @_take.register
     def _lose(self, event: EntryLost) -> None:
         for ticket in self._waiting:
             if ticket.entry == event.entry:
                 self._withdraw(TicketWithdrawn(ticket.ticket_id))
-        held = [
-            ticket_id
-            for ticket_id, running in self._running.items()
-            if running.ticket.entry == event.entry
-        ]
-        for ticket_id in held:
+        for ticket_id in self._grants.held_by(event.entry):
             self._release(GrantReleased(ticket_id))
 
     @_take.register
@@ -319,21 +257,18 @@
             return False
         self._waiting.pop(ticket.ticket_id)
         self._waiting.charge(ticket, owed=owed)
-        name = server.view.name
-        cache = self._table.cache
-        unread = ticket.tokens_in - cache.cached(name, ticket.pieces)
-        cache.note(name, ticket.pieces)
-        held = Running(ticket, name, protected=owed, unread=unread)
-        self._running[ticket.ticket_id] = held
-        server.add(held.load)
-        server.expect_reading(unread, self._now_s)
-        self._table.remember(ticket.prefix, name)
+        unread = self._grants.start(
+            ticket,
+            server,
+            self._now_s,
+            is_protected=owed,
+        )
         self._rate.note(ticket.tier, self._now_s)
         self._commands.append(
             Granted(
                 ticket.ticket_id,
                 ticket.entry,
-                name,
+                server.view.name,
                 ticket.pieces,
                 unread,
             ),
@@ -343,7 +278,7 @@
     def _make_room(self, tier: int) -> None:
         """Pause one lower stream for each ticket that waits in the tier."""
         waiting = self._waiting.count_above(tier)
-        for held in choose_pauses(self._running.values(), tier, waiting):
+        for held in choose_pauses(self._grants.running, tier, waiting):
             held.ending = True
             self._commands.append(
                 Paused(held.ticket.ticket_id, held.ticket.entry),
@@ -351,7 +286,7 @@
 
     def _move_from_slow(self) -> None:
         free = self._table.free_slots(self._now_s)
-        for held in choose_moves(self._running.values(), self._table, free):
+        for held in choose_moves(self._grants.running, self._table, free):
             held.ending = True
             self._commands.append(
                 Moved(held.ticket.ticket_id, held.ticket.entry),
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Generator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 from siskinpass.codes import MEANINGS, Code
 from siskinpass.connection.backend import BackendPool
@@ -271,8 +272,7 @@
             return Ended(Ending.unsent, cause='no time left')
         with self._following(taker):
             taker.start(connection, encode_send(self._call, order))
-            ended = await taker.finished
-        return ended
+            return await taker.finished
 
     @contextmanager
     def _following(self, taker: AnswerTaker) -> Generator[None, None, None]:
@@ -373,7 +373,6 @@
             tight=load.tight,
             unread=sum(load.unread),
             tokens=ticket.tokens_in,
-            parts=[(piece.key % 100003, piece.tokens) for piece in ticket.pieces],
             waited_ms=_ms_since(ticket.opened_s),
         )
 
@@ -430,13 +429,13 @@
 
 
 STATUS_UNAVAILABLE = 503
-_RETRY_CODES = {
+_RETRY_CODES = MappingProxyType({
     Ending.unsent: Code.retry_connect_failed,
     Ending.declined: Code.retry_backend_leaving,
     Ending.failed: Code.retry_backend_failed,
     Ending.lost: Code.retry_reset,
     Ending.cut: Code.retry_stream_cut,
-}
+})
 
 
 def _ms_since(began_s: float) -> int:
--- a/src/siskinpass/process/fleet/loads.py
+++ b/src/siskinpass/process/fleet/loads.py
@@ -98,20 +98,20 @@
     def datagram_received(self, datagram: bytes, addr: object) -> None:
         """Take in one report."""
         try:
-            told = orjson.loads(datagram)
-            if isinstance(told, dict):
-                self._on_placed(_decode_placed(told))
-                return
-            name, order, rows = told
-            loads = {
-                server: ServerLoad(running, tight, tuple(unread))
-                for server, running, tight, unread in rows
-            }
+            self._take(orjson.loads(datagram))
         except (ValueError, TypeError, KeyError) as error:
             self._log.warn('A load report cannot be read.', cause=str(error))
+
+    def _take(self, told: Any) -> None:
+        if isinstance(told, dict):
+            self._on_placed(_decode_placed(told))
             return
-        report = PeerReport(order, self._loop.time(), loads)
-        self._heard.hear(name, report)
+        name, order, rows = told
+        loads = {
+            server: ServerLoad(running, tight, tuple(unread))
+            for server, running, tight, unread in rows
+        }
+        self._heard.hear(name, PeerReport(order, self._loop.time(), loads))
         self._has_news = True
 
     def tell_placed(self, placed: PromptPlaced) -> None:
--- /dev/null
+++ b/src/siskinpass/process/fleet/members.py
@@ -0,0 +1,103 @@
+"""Let the instances of a fleet find one another."""
+
+import asyncio
+import random
+import time
+
+from siskinpass.exceptions import FormatError, StoreConflictError, StoreError
+from siskinpass.platform.directory import decode_member, encode_member
+from siskinpass.platform.objects import INSTANCES_KIND
+from siskinpass.process.fleet.settings import FleetSettings
+from siskinpass.process.fleet.store_client import StoreClient
+from siskinpass.process.gossip import Gossip
+from siskinpass.process.logs import PartLog
+from siskinpass.process.membership import Member, Membership, MembershipPolicy
+
+NS_PER_MS = 1_000_000
+# As long as a call to the store may take; the store may be away at the start.
+REGISTER_RETRY_S = 0.5
+
+
+class FleetMembers:
+    """Own the membership of this instance.
+
+    :param store: where instances leave their addresses for new ones.
+    """
+
+    def __init__(self, settings: FleetSettings, store: StoreClient) -> None:
+        """Start with this instance only."""
+        self._settings = settings
+        self._store = store
+        self._log = PartLog('member')
+        self._most = 1
+        self._own = Member(
+            settings.name,
+            settings.peers,
+            settings.callers,
+            settings.zone,
+            incarnation=time.time_ns() // NS_PER_MS,
+        )
+        self.gossip = Gossip(
+            Membership(self._own, MembershipPolicy(), random.Random()),
+            # Heartbeats of another deployment are told apart by their hash.
+            settings.store,
+            self._count,
+        )
+
+    @property
+    def most(self) -> int:
+        """Return the most instances that were known at once."""
+        return self._most
+
+    @property
+    def serving(self) -> list[Member]:
+        """Return the instances that are neither dead nor leaving."""
+        return self.gossip.membership.serving
+
+    def peer_sockets(self, port_step: int) -> list[tuple[str, int]]:
+        """Return where the other live instances listen.
+
+        :param port_step: distance of the port from that of the heartbeats.
+        """
+        found = []
+        for member in self.gossip.membership.live:
+            if member.name != self._settings.name:
+                host, port = member.peer_address.rsplit(':', 1)
+                found.append((host, int(port) + port_step))
+        return found
+
+    async def register(self) -> None:
+        """Write this instance into the store and learn of the others."""
+        while True:
+            try:
+                await self._register_once()
+            except (StoreError, FormatError) as error:
+                self._log.warn('Registering failed.', cause=str(error))
+                await asyncio.sleep(REGISTER_RETRY_S)
+            else:
+                return
+
+    async def leave(self, version: int) -> None:
+        """Tell the others and the store that this instance is leaving."""
+        self.gossip.tell_self(leaving=True, tree_version=version)
+        try:
+            await self._store.delete(INSTANCES_KIND, self._settings.name)
+        except StoreError as error:
+            self._log.warn('Deregistering failed.', cause=str(error))
+
+    async def _register_once(self) -> None:
+        name = self._settings.name
+        body = encode_member(self._own)
+        try:
+            await self._store.create(INSTANCES_KIND, name, body)
+        except StoreConflictError:
+            await self._store.replace(INSTANCES_KIND, name, body)
+        listed = await self._store.list_kind(INSTANCES_KIND)
+        found = [decode_member(entry.body) for entry in listed.stored]
+        members = tuple(member for member in found if member is not None)
+        self._most = max(self._most, len(members))
+        self.gossip.list_seeds(members)
+
+    def _count(self) -> None:
+        live = len(self.gossip.membership.live)
+        self._most = max(self._most, live)
--- a/src/siskinpass/request/inbound.py
+++ b/src/siskinpass/request/inbound.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 
 Header = tuple[bytes, bytes]
+STATUS_OK = 200
+STATUS_REDIRECT = 300
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,7 +152,7 @@
     @property
     def is_success(self) -> bool:
         """Return whether the request succeeded."""
-        return 200 <= self.status < 300
+        return STATUS_OK <= self.status < STATUS_REDIRECT
 
     @property
     def ends_with_connection(self) -> bool:
--- a/src/siskinpass/request/ticket.py
+++ b/src/siskinpass/request/ticket.py
@@ -229,16 +229,16 @@
     """Time passed."""
 
 
+# Events that change only what the servers are known to carry.
+LoadEvent = (
+    TokensObserved | PromptRead | PeerLoadsTold | PromptPlaced | ServersListed
+)
 Event = (
     TicketOpened
     | TicketWithdrawn
     | GrantReleased
     | GrantReported
-    | TokensObserved
-    | PromptRead
-    | PeerLoadsTold
-    | PromptPlaced
-    | ServersListed
+    | LoadEvent
     | EntryLost
     | ClockTicked
 )
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -61,7 +61,7 @@
         connection.send(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n', collector)
         await asyncio.sleep(0)  # uvloop writes at the end of a turn
         await asyncio.sleep(0)
-        # Holds the loop up, so that answer and end arrive before either is read.
+        # Holds the loop up: answer and end arrive before either is read.
         answer_once(listener, pieces, reset=reset)
         ended = await collector.ended
     return ended, collector.body
