--- a/src/siskinpass/process/fleet/answer.py
+++ b/src/siskinpass/process/fleet/answer.py
@@ -11,6 +11,7 @@
 from siskinpass.request.events import EventTap
 from siskinpass.request.inbound import AnswerHead, Header
 from siskinpass.request.resend import Ending
+from siskinpass.request.silence import SilenceLimits
 
 # The server closes an idle connection after the time that it states; it is
 # not used in the last part of that.
@@ -72,6 +73,8 @@
         self._body = bytearray()
         self._streams = False
         self._fault = ''
+        self._heard_s = 0.0
+        self._has_signs = False
         self._connection: BackendConnection | None = None
         self._loop = asyncio.get_running_loop()
         self.finished: asyncio.Future[Ended] = self._loop.create_future()
@@ -84,6 +87,7 @@
     def start(self, connection: BackendConnection, request: bytes) -> None:
         """Send the request."""
         self._connection = connection
+        self._heard_s = self._loop.time()
         connection.send(request, self)
 
     def cancel(self) -> None:
@@ -92,6 +96,19 @@
         if connection is not None:
             connection.cancel()
 
+    async def wait(self, limits: SilenceLimits | None) -> Ended:
+        """Wait for the end of the attempt.
+
+        :param limits: bounds of the server's silence, none for no bound.
+        """
+        while limits and not self.finished.done():
+            allowed_s = limits.pause_s if self._has_signs else limits.first_s
+            left_s = self._heard_s + allowed_s - self._loop.time()
+            if left_s <= 0:
+                self._break_off(f'silent for {allowed_s:.1f} s')
+            await asyncio.wait((self.finished,), timeout=max(0, left_s))
+        return await self.finished
+
     def set_flow(self, *, on: bool) -> None:
         """Slow down or go on, by the pace of the caller."""
         if self._connection is not None:
@@ -113,6 +130,8 @@
 
     def take_piece(self, piece: bytes) -> None:
         """Collect a body, or pass on the whole events of a stream."""
+        self._heard_s = self._loop.time()
+        self._has_signs = True
         if self._fault:
             return
         if not self._streams:
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -26,6 +26,7 @@
 )
 from siskinpass.request.resend import Ending, Sends, Step, decide, give_up
 from siskinpass.request.retry_window import RetryWindow
+from siskinpass.request.silence import silence_limits
 from siskinpass.request.ticket import ServerView, Ticket
 from siskinpass.version.routes import (
     Route,
@@ -272,7 +273,9 @@
             return Ended(Ending.unsent, cause='no time left')
         with self._following(taker):
             taker.start(connection, encode_send(self._call, order))
-            return await taker.finished
+            return await taker.wait(
+                silence_limits(plan.route, self._sends),
+            )
 
     @contextmanager
     def _following(self, taker: AnswerTaker) -> Generator[None, None, None]:
