Test the adapter, the pure parts and real instances over a stand-in platform; give each shared part a home

Cause of the change to placement: tests/test_affinity.py showed that under light load all parts went to the first server, as ties fell to its name.

--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -14,10 +14,11 @@
 """
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from siskinpass.process.placement import READ_TOKENS_S, Server, ServerTable
-from siskinpass.process.rendezvous import rank
+from siskinpass.process.rendezvous import holder, rank
 from siskinpass.request.ticket import Ticket
 
 LANE_SERVERS_LEAST = 3
@@ -33,6 +34,9 @@
         takes 0.165 ms longer for it; over some 120 steps that is the time in
         which an engine reads about 1,200 prompt tokens.
     :param reread_factor: weight of tokens that another server has cached.
+    :param home_tokens: what a server that is not the home of the prompt's
+        last shared part costs more. Equal servers are told apart by it, so
+        that parts spread over all memories and two instances choose alike.
     :param lane_penalty: cost of sharing an engine against the lanes, about
         one second of reading.
     :param lane_streams: streams with a tight pause for each engine of their
@@ -54,6 +58,7 @@
 
     running_tokens: float = 400.0
     reread_factor: float = 10.0
+    home_tokens: float = 8000.0
     lane_penalty: float = 500_000.0
     lane_streams: int = 14
     lane_least: float = 0.25
@@ -86,7 +91,7 @@
             best = min(servers, key=_plain_cost)
             return best if self._has_slot(best) else None
         lane = self._lane.names(table)
-        cost = _PromptCost(self._policy, table, ticket, lane)
+        cost = _PromptCost(self._policy, table, ticket, lane, servers)
         best = min(servers, key=cost.of)
         return best if self._has_room(best, ticket, table.now_s) else None
 
@@ -157,6 +162,7 @@
         table: ServerTable,
         ticket: Ticket,
         lane: frozenset[str],
+        servers: Sequence[Server],
     ) -> None:
         """Look up what each server has cached."""
         self._policy = policy
@@ -171,6 +177,7 @@
             for server in table.servers
         }
         self._most_cached = max(self._cached.values())
+        self._home = self._find_home(servers)
 
     def of(self, server: Server) -> tuple[float, str]:
         """Return the cost of a server, its name to break ties."""
@@ -182,8 +189,18 @@
         cost += (self._most_cached - cached) * (policy.reread_factor - 1)
         cost += load.running * policy.running_tokens
         cost += server.trouble * policy.trouble_tokens
+        cost += 0 if name == self._home else policy.home_tokens
         return cost + self._lane_cost(server), name
 
+    def _find_home(self, servers: Sequence[Server]) -> str:
+        """Return the home of the prompt among the servers of its lane."""
+        names = {server.view.name for server in servers}
+        if self._lane:
+            same = self._lane if self._ticket.is_tight else names - self._lane
+            names = (names & same) or names
+        shared = self._ticket.pieces[:-1] or self._ticket.pieces
+        return holder(str(shared[-1].key), names)
+
     def _lane_cost(self, server: Server) -> float:
         in_lane = server.view.name in self._lane
         if not self._lane:
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,196 @@
+"""Stand in for the users' platform: its object store and its workers."""
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from standins.http_server import (
+    HangUpError,
+    Request,
+    Response,
+    json_response,
+)
+
+PREFIX = '/-/objects/'
+FIRST_REVISION = 10
+
+
+class ObjectStore:
+    """Keep objects with revisions and tell watches of changes."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._changes: list[tuple[int, str, dict[str, Any], bool]] = []
+        self._revisions = itertools.count(FIRST_REVISION)
+        self._revision = FIRST_REVISION
+        self._changed = asyncio.Condition()
+        self.history_from = 0
+        self.is_down = False
+
+    async def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object as the operator or a worker does."""
+        self._revision = next(self._revisions)
+        found = {
+            'metadata': {'name': name, 'revision': self._revision},
+            'spec': spec,
+        }
+        self._objects[kind, name] = found
+        await self._tell(kind, found, is_deleted=False)
+
+    async def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        found = self._objects.pop((kind, name), None)
+        if found is not None:
+            self._revision = next(self._revisions)
+            await self._tell(kind, found, is_deleted=True)
+
+    def names(self, kind: str) -> set[str]:
+        """Return the names of a kind's objects."""
+        return {name for known, name in self._objects if known == kind}
+
+    async def __call__(self, request: Request) -> Response:
+        """Answer one call."""
+        if self.is_down:
+            raise HangUpError
+        kind, _, name = request.path.removeprefix(PREFIX).partition('/')
+        if request.method == 'GET' and 'watch' in request.query:
+            return await self._watch(kind, request)
+        if request.method == 'GET':
+            return self._list(kind)
+        return await self._write(request, kind, name)
+
+    async def _write(self, request: Request, kind: str, name: str) -> Response:
+        if request.method == 'DELETE':
+            await self.remove(kind, name)
+            return json_response({})
+        told = request.json()
+        name = told['metadata']['name']
+        if request.method == 'POST' and (kind, name) in self._objects:
+            return json_response(self._objects[kind, name], 409)
+        await self.put(kind, name, told['spec'])
+        return json_response(self._objects[kind, name])
+
+    def _list(self, kind: str) -> Response:
+        rows = [
+            found
+            for (known, _), found in self._objects.items()
+            if known == kind
+        ]
+        return json_response(
+            {'items': rows, 'has-more': False, 'current-rev': self._revision},
+        )
+
+    async def _watch(self, kind: str, request: Request) -> Response:
+        since = int(request.query['watch'])
+        wait_s = int(request.query['wait-ms']) / 1000
+        if since < self.history_from:
+            return json_response({}, 410)
+        try:
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(
+                    lambda: self.is_down or self._since(kind, since),
+                )
+        except TimeoutError:
+            return self._told([])
+        if self.is_down:
+            raise HangUpError
+        return self._told(self._since(kind, since))
+
+    def _since(self, kind: str, revision: int) -> list[dict[str, Any]]:
+        return [
+            {'object': found, 'deleted': is_deleted}
+            for at, known, found, is_deleted in self._changes
+            if at > revision and known == kind
+        ]
+
+    def _told(self, events: list[dict[str, Any]]) -> Response:
+        return json_response(
+            {'events': events, 'current-rev': self._revision},
+        )
+
+    async def take_down(self) -> None:
+        """Hang up on all calls, also those that wait."""
+        self.is_down = True
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _tell(
+        self,
+        kind: str,
+        found: dict[str, Any],
+        *,
+        is_deleted: bool,
+    ) -> None:
+        self._changes.append((self._revision, kind, found, is_deleted))
+        async with self._changed:
+            self._changed.notify_all()
+
+
+@dataclass(slots=True)
+class Faults:
+    """Set what a worker does wrong with its next requests.
+
+    :param declines: requests that it states it did not run.
+    :param hang_ups: requests after whose run it closes the connection.
+    :param cuts: streams that it breaks off after a few events.
+    :param silent: requests that it never answers.
+    """
+
+    declines: int = 0
+    hang_ups: int = 0
+    cuts: int = 0
+    silent: int = 0
+
+
+@dataclass(slots=True)
+class Worker:
+    """Run requests and keep a log of them.
+
+    :param gap_s: pause between the events of a stream.
+    """
+
+    name: str
+    gap_s: float = 0.01
+    events: int = 8
+    faults: Faults = field(default_factory=Faults)
+    runs: list[Request] = field(default_factory=list)
+
+    async def __call__(self, request: Request) -> Response:
+        """Answer one request."""
+        if request.headers.get('x-expect-instance') != self.name:
+            return Response(421)
+        if self._takes('declines'):
+            return Response(503, headers={'X-Not-Executed': '1'})
+        self.runs.append(request)
+        if self._takes('hang_ups'):
+            raise HangUpError
+        if self._takes('silent'):
+            await asyncio.Event().wait()
+        headers = {
+            'X-Attempt-Id': request.headers.get('x-attempt-id', ''),
+            'X-Server-Seal': f'seal-{self.name}',
+        }
+        if 'stream' in request.path:
+            after = int(request.headers.get('last-event-id', '0'))
+            return Response(headers=headers, stream=self._stream(after))
+        body = orjson.dumps({'ran': self.name, 'body': request.body.decode()})
+        return Response(200, body, headers)
+
+    def _takes(self, fault: str) -> bool:
+        left = getattr(self.faults, fault)
+        setattr(self.faults, fault, max(0, left - 1))
+        return left > 0
+
+    async def _stream(self, after: int) -> AsyncIterator[bytes]:
+        is_cut = self._takes('cuts')
+        for number in range(after + 1, self.events + 1):
+            await asyncio.sleep(self.gap_s)
+            if is_cut and number == after + 4:
+                yield b'id: '
+                raise HangUpError
+            yield f'id: {number}\ndata: x{number}\n\n'.encode()
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,256 @@
+"""Run entry instances of a fleet over the stand-in platform."""
+
+import asyncio
+import os
+import re
+import socket
+import sys
+import tempfile
+from collections.abc import AsyncGenerator
+from contextlib import AsyncExitStack, ExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from standins.fleet import ObjectStore, Worker
+from standins.http_server import serve
+
+WAIT_S = 20.0
+POLL_S = 0.02
+HOST = 'h.example'
+KEY = 'key-1'
+SETTINGS = """
+node-name: "{name}"
+ip: "127.0.0.1"
+zone: "a"
+listen:
+  front: "127.0.0.1:{ports[0]}"
+  ready: "127.0.0.1:{ports[1]}"
+  directory: "127.0.0.1:{ports[2]}"
+internal-port-range: [{ports[3]}, {ports[4]}]
+platform: {{address: "127.0.0.1:{store}"}}
+bounds: {{grace-s: 8}}
+"""
+
+
+def route(prefix, kind, **more):
+    """Return a route of the configuration."""
+    return {
+        'name': prefix,
+        'host': HOST,
+        'path-prefix': prefix,
+        'route-type': kind,
+        'timeout-ms': 3000,
+        'target-latency-ms': 200,
+        'service': 'app',
+    } | more
+
+
+ROUTES = (
+    route('/safe/', 'safe', **{'max-attempts': 2}),
+    route('/once/', 'unsafe'),
+    route('/short/', 'unsafe', **{'timeout-ms': 300}),
+    route(
+        '/stream/',
+        'stream',
+        **{'stream-resume': True, 'max-attempts': 2, 'target-gap-ms': 300},
+    ),
+    route('/plain-stream/', 'stream', **{'target-gap-ms': 300}),
+)
+
+
+def config(version, routes=ROUTES):
+    """Return a configuration."""
+    return {
+        'version': version,
+        'routes': list(routes),
+        'services': [{'name': 'app', 'max-connections': 99}],
+        'tenants': [{'name': 'w', 'api-keys': [KEY]}],
+    }
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold one answer as a caller sees it.
+
+    :param is_whole: whether it ended as it should.
+    """
+
+    status: int
+    head: str = ''
+    body: bytes = b''
+    is_whole: bool = True
+
+    def header(self, name):
+        """Return a header's text, empty where it is missing."""
+        found = re.search(rf'^{name}: (.*?)\r?$', self.head, re.M | re.I)
+        return found.group(1) if found else ''
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Hold the running parts."""
+
+    store: ObjectStore
+    workers: list[Worker]
+    ports: dict[str, list[int]] = field(default_factory=dict)
+    processes: dict[str, asyncio.subprocess.Process] = field(
+        default_factory=dict,
+    )
+
+    @property
+    def runs(self):
+        """Return the requests that all workers ran."""
+        return [run for worker in self.workers for run in worker.runs]
+
+    async def ask(self, path, *, name='front-1', key=KEY, more='', port=0):
+        """Send one request and return its answer."""
+        port = port or self.ports[name][0]
+        wire = (
+            f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: id-1\r\n'
+            f'Authorization: Bearer {key}\r\nX-Deadline-Ms: 5000\r\n'
+            f'{more}Connection: close\r\nContent-Length: 4\r\n\r\nbody'
+        )
+        return await exchange(port, wire.encode())
+
+    async def get(self, path, kind, name='front-1'):
+        """Ask for readiness (1), the directory (2) or the metrics (4)."""
+        wire = f'GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
+        return await exchange(self.ports[name][kind], wire.encode())
+
+    async def start(self, name):
+        """Start one instance; it need not be ready."""
+        ports = free_ports(5)
+        self.ports[name] = ports
+        path = Path(tempfile.mkdtemp()) / 'boot.yaml'
+        path.write_text(
+            SETTINGS.format(
+                name=name, ports=ports, store=self.ports['store'][0]
+            ),
+        )
+        self.processes[name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'siskinpass.process.fleet',
+            env=os.environ | {'SISKINPASS_SETTINGS': str(path)},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+
+    async def is_ready(self, name='front-1'):
+        """Tell whether an instance says that it is ready."""
+        try:
+            return (await self.get('/-/readiness', 1, name)).status == 200
+        except OSError:
+            return False
+
+
+def free_ports(count):
+    """Return ports that no one listens on; UDP neighbours are free too."""
+    with ExitStack() as stack:
+        found = [
+            stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+            for _ in range(count)
+        ]
+        return [sock.getsockname()[1] for sock in found]
+
+
+async def exchange(port, wire):
+    """Send bytes and return the answer; the connection ends with it."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(wire)
+    try:
+        arrived = await asyncio.wait_for(reader.read(-1), WAIT_S)
+    except ConnectionResetError:
+        arrived = b''
+    finally:
+        writer.close()
+    return parse(arrived)
+
+
+def parse(arrived):
+    """Return an answer from its bytes."""
+    head, _, body = arrived.partition(b'\r\n\r\n')
+    if not head:
+        return Answer(0, is_whole=False)
+    text = head.decode()
+    status = int(text.split()[1])
+    if 'chunked' not in text.lower():
+        return Answer(status, text, body)
+    whole = body.endswith(b'0\r\n\r\n')
+    chunks = re.split(rb'(?:^|\r\n)[0-9a-f]+\r\n', body)
+    return Answer(
+        status, text, b''.join(chunks).strip(b'\r\n') + b'\n\n', whole
+    )
+
+
+async def until(holds, what):
+    """Wait for an event; it must come."""
+    for _ in range(int(WAIT_S / POLL_S)):
+        told = holds()
+        if asyncio.iscoroutine(told):
+            told = await told
+        if told:
+            return
+        await asyncio.sleep(POLL_S)
+    raise AssertionError(f'waited in vain: {what}')
+
+
+@asynccontextmanager
+async def running(
+    instances: int = 1,
+    workers: int = 2,
+) -> AsyncGenerator[Fleet, None]:
+    """Run a store, workers and instances; end them afterwards."""
+    async with AsyncExitStack() as stack:
+        fleet = Fleet(ObjectStore(), [])
+        fleet.ports['store'] = free_ports(1)
+        await _listen(stack, fleet.store, fleet.ports['store'][0])
+        for number in range(workers):
+            worker = Worker(f'i-{number}')
+            fleet.workers.append(worker)
+            port = free_ports(1)[0]
+            await _listen(stack, worker, port)
+            await fleet.store.put('servers', worker.name, entry(port))
+        await fleet.store.put('config', 'main', config(3))
+        stack.push_async_callback(_end, fleet)
+        for number in range(1, instances + 1):
+            await fleet.start(f'front-{number}')
+        for name in tuple(fleet.processes):
+            await until(lambda name=name: fleet.is_ready(name), f'{name} ready')
+            await until(
+                lambda name=name: _accepts(fleet.ports[name][2]),
+                f'{name} serves',
+            )
+        yield fleet
+
+
+def entry(port, **more):
+    """Return a worker's entry."""
+    return {
+        'service': 'app',
+        'address': f'127.0.0.1:{port}',
+        'zone': 'a',
+        'slots': 6,
+        'state': 'ready',
+        'born': 1,
+    } | more
+
+
+async def _accepts(port):
+    try:
+        _, writer = await asyncio.open_connection('127.0.0.1', port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
+async def _listen(stack, handler, port):
+    server = await serve(handler, '127.0.0.1', port)
+    stack.callback(server.close)
+
+
+async def _end(fleet):
+    for process in fleet.processes.values():
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,306 @@
+"""Test entry instances as processes over a stand-in of the platform."""
+
+import asyncio
+import signal
+
+import pytest
+
+from siskinpass.codes import MEANINGS, Code
+from tests.fleet import ROUTES, config, entry, exchange, route, running, until
+
+WHOLE = b''.join(f'id: {n}\ndata: x{n}\n\n'.encode() for n in range(1, 9))
+
+
+def played(scenario, **more):
+    """Run a scenario over a running fleet."""
+
+    async def run():
+        async with running(**more) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+class TestRequests:
+    """Test what callers get."""
+
+    def test_whole_path(self):
+        """A request goes to a worker, its answer and receipt come back."""
+
+        async def scenario(fleet):
+            told = await fleet.get('/-/resolution?name=h&zone=a', 2)
+            front = fleet.ports['front-1'][0]
+            assert f'127.0.0.1:{front}'.encode() in told.body
+            answer = await fleet.ask('/once/x', more='X-Hold: forged\r\n')
+            run = fleet.runs[0]
+            assert (answer.status, run.body) == (200, b'body')
+            assert answer.header('X-Server-Seal').startswith('seal-i-')
+            assert run.headers['x-tenant'] == 'w'
+            assert 'authorization' not in run.headers
+            assert 'x-hold' not in run.headers
+            assert 0 < int(run.headers['x-deadline-ms']) <= 3000
+
+        played(scenario)
+
+    @pytest.mark.parametrize(
+        ('path', 'key', 'code'),
+        [
+            ('/none/x', 'key-1', Code.unknown_path),
+            ('/once/x', 'other', Code.unknown_key),
+        ],
+    )
+    def test_refuses_what_no_configuration_allows(self, path, key, code):
+        """Such a request gets its status and reaches no worker."""
+
+        async def scenario(fleet):
+            answer = await fleet.ask(path, key=key)
+            assert answer.status == MEANINGS[code].status
+            assert not fleet.runs
+
+        played(scenario)
+
+    @pytest.mark.parametrize(
+        'wire',
+        [
+            b'nonsense\r\n\r\n',
+            b'POST /once/ HTTP/1.1\r\nHost: h.example\r\n'
+            b'Content-Length: 4\r\nContent-Length: 5\r\n\r\nbodyx',
+            b'POST /once/ HTTP/1.1\r\nHost: h.example\r\n'
+            b'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        ],
+    )
+    def test_refuses_malformed_requests(self, wire):
+        """Requests that two readers could split differently go nowhere."""
+
+        async def scenario(fleet):
+            answer = await exchange(fleet.ports['front-1'][0], wire)
+            assert answer.status == MEANINGS[Code.malformed_head].status
+            assert not fleet.runs
+
+        played(scenario)
+
+    def test_reads_chunked_bodies(self):
+        """A body in chunks reaches the worker whole."""
+
+        async def scenario(fleet):
+            wire = (
+                b'POST /once/ HTTP/1.1\r\nHost: h.example\r\n'
+                b'X-Attempt-Id: id-1\r\nAuthorization: Bearer key-1\r\n'
+                b'Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n'
+                b'2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n'
+            )
+            answer = await exchange(fleet.ports['front-1'][0], wire)
+            assert (answer.status, fleet.runs[0].body) == (200, b'body')
+
+        played(scenario)
+
+
+class TestFaults:
+    """Test workers that fail."""
+
+    @pytest.mark.parametrize(
+        ('path', 'fault', 'status', 'runs'),
+        [
+            ('/once/x', 'declines', 200, 1),
+            ('/once/x', 'hang_ups', 502, 1),
+            ('/safe/x', 'hang_ups', 200, 2),
+            ('/safe/x', 'silent', 200, 2),
+            ('/short/x', 'silent', 504, 1),
+        ],
+    )
+    def test_each_kind_is_sent_as_often_as_it_may(
+        self,
+        path,
+        fault,
+        status,
+        runs,
+    ):
+        """Only idempotent work, or what was not run, goes elsewhere."""
+
+        async def scenario(fleet):
+            # Equal servers are taken in the order of their names.
+            setattr(fleet.workers[0].faults, fault, 1)
+            answer = await fleet.ask(path)
+            assert answer.status == status
+            assert len(fleet.runs) == runs
+
+        played(scenario)
+
+    def test_cut_stream_goes_on_elsewhere(self):
+        """A resumable stream reaches the caller whole, nothing doubled."""
+
+        async def scenario(fleet):
+            fleet.workers[0].faults.cuts = 1
+            answer = await fleet.ask('/stream/stream')
+            assert (answer.body, answer.is_whole) == (WHOLE, True)
+            assert [run.headers.get('last-event-id') for run in fleet.runs] == [
+                None,
+                '3',
+            ]
+
+        played(scenario)
+
+    def test_cut_stream_that_may_not_be_resumed_looks_cut(self):
+        """Whole events are passed on, but no end mark."""
+
+        async def scenario(fleet):
+            fleet.workers[0].faults.cuts = 1
+            answer = await fleet.ask('/plain-stream/stream')
+            assert WHOLE.startswith(answer.body.rstrip())
+            assert not answer.is_whole
+            assert len(fleet.runs) == 1
+
+        played(scenario)
+
+
+class TestPlatform:
+    """Test the store's faults and what it tells."""
+
+    def test_serves_while_the_store_is_down(self):
+        """What was learnt before still holds."""
+
+        async def scenario(fleet):
+            await fleet.store.take_down()
+            answer = await fleet.ask('/once/x')
+            assert answer.status == 200
+
+        played(scenario)
+
+    def test_adopts_newer_versions_only(self):
+        """A version that is older or cannot be read changes nothing."""
+
+        async def scenario(fleet):
+            newer = (*ROUTES, route('/new/', 'unsafe'))
+            await fleet.store.put('config', 'main', config(5, newer))
+            await until(lambda: _has_status(fleet, '/new/x', 200), 'version 5')
+            await fleet.store.put('config', 'main', config(4))
+            await fleet.store.put('config', 'main', {'version': 9})
+            last = (*newer, route('/last/', 'unsafe'))
+            await fleet.store.put('config', 'main', config(10, last))
+            await until(
+                lambda: _has_status(fleet, '/last/x', 200), 'version 10'
+            )
+            assert await _has_status(fleet, '/new/x', 200)
+
+        played(scenario)
+
+    def test_forgotten_history_is_listed_anew(self):
+        """A change that no watch can tell is found by a listing."""
+
+        async def scenario(fleet):
+            fleet.store.history_from = 10**6
+            newer = (*ROUTES, route('/new/', 'unsafe'))
+            await fleet.store.put('config', 'main', config(5, newer))
+            await until(lambda: _has_status(fleet, '/new/x', 200), 'version 5')
+
+        played(scenario)
+
+    def test_leaving_worker_gets_nothing_new(self):
+        """A draining or missing entry takes a worker out."""
+
+        async def scenario(fleet):
+            await fleet.store.put(
+                'servers',
+                'i-0',
+                entry(1, state='draining'),
+            )
+            await fleet.store.put('servers', 'i-9', {'service': 5})
+            await until(lambda: _avoids(fleet, 0), 'i-0 to be left')
+
+        played(scenario)
+
+    def test_waits_for_its_first_configuration(self):
+        """An instance that knows none takes no callers and is not ready."""
+
+        async def scenario(fleet):
+            await fleet.store.take_down()
+            await fleet.start('late')
+            await until(lambda: _answers(fleet, 'late'), 'the process')
+            assert not await fleet.is_ready('late')
+            fleet.store.is_down = False
+            await until(lambda: fleet.is_ready('late'), 'readiness')
+
+        played(scenario)
+
+
+class TestStopping:
+    """Test the end of a process."""
+
+    def test_open_streams_end_whole(self):
+        """A termination signal cuts nothing; the instance is left at once."""
+
+        async def scenario(fleet):
+            for worker in fleet.workers:
+                worker.gap_s = 0.2
+            asked = asyncio.create_task(fleet.ask('/stream/stream'))
+            await until(lambda: fleet.runs, 'the run')
+            fleet.processes['front-1'].send_signal(signal.SIGTERM)
+            await until(lambda: _not_ready(fleet), 'not ready')
+            late = await fleet.ask('/once/x')
+            assert (late.status, late.header('Connection')) == (200, 'close')
+            answer = await asked
+            assert (answer.body, answer.is_whole) == (WHOLE, True)
+            assert await fleet.processes['front-1'].wait() == 0
+            assert not fleet.store.names('siskinpass-instances')
+
+        played(scenario)
+
+    def test_caller_that_leaves_ends_the_run(self):
+        """The worker's connection is closed with that of the caller."""
+
+        async def scenario(fleet):
+            for worker in fleet.workers:
+                worker.faults.silent = 1
+            asked = asyncio.create_task(fleet.ask('/once/x'))
+            await until(lambda: fleet.runs, 'the run')
+            asked.cancel()
+            await until(lambda: _idle(fleet), 'no request to run')
+
+        played(scenario)
+
+
+class TestFleet:
+    """Test several instances."""
+
+    def test_instances_find_one_another(self):
+        """The directory tells all of a zone, a stopped one no more."""
+
+        async def scenario(fleet):
+            await until(lambda: _tells(fleet, 2), 'two addresses')
+            fleet.processes['front-2'].kill()
+            await until(lambda: _tells(fleet, 1), 'one address')
+
+        played(scenario, instances=2)
+
+
+async def _tells(fleet, count):
+    told = await fleet.get('/-/resolution?zone=a', 2)
+    return told.body.count(b'127.0.0.1') == count
+
+
+async def _has_status(fleet, path, status):
+    answer = await fleet.ask(path)
+    return answer.status == status
+
+
+async def _avoids(fleet, number):
+    before = len(fleet.workers[number].runs)
+    for _ in range(6):
+        await fleet.ask('/once/x')
+    return len(fleet.workers[number].runs) == before
+
+
+async def _answers(fleet, name):
+    try:
+        return (await fleet.get('/-/readiness', 1, name)).status > 0
+    except OSError:
+        return False
+
+
+async def _not_ready(fleet):
+    return not await fleet.is_ready()
+
+
+async def _idle(fleet):
+    told = await fleet.get('/metrics', 4)
+    return b'name="running"} 0' in told.body
--- /dev/null
+++ b/tests/test_platform_headers.py
@@ -0,0 +1,139 @@
+"""Test how requests and answers are translated."""
+
+import pytest
+
+from siskinpass.platform.headers import (
+    decode_answer,
+    decode_call,
+    encode_send,
+)
+from siskinpass.request.inbound import SendOrder, WireRequest
+
+FORGED = (
+    b'X-Hold',
+    b'X-Pin-Ms',
+    b'X-Kv-Backup',
+    b'Kv-From',
+    b'Kv-Fetch',
+    b'X-Tenant',
+    b'X-Expect-Instance',
+    b'X-Request-Urgency',
+    b'Authorization',
+    b'Last-Event-Id',
+)
+
+
+def request(*headers, method=b'POST', body=b'body'):
+    """Return a request with headers."""
+    return WireRequest(method, b'/p/x?q=1', headers, body)
+
+
+class TestCall:
+    """Test what is read from a request and passed on."""
+
+    def test_reads_prompt_and_time(self):
+        """Tokens, parts and the caller's patience are decoded."""
+        call = decode_call(
+            request(
+                (b'Host', b'h.example'),
+                (b'X-Attempt-Id', b'id-1'),
+                (b'X-Deadline-Ms', b'1500'),
+                (b'X-Token-Count', b'1460,80'),
+                (b'X-Prompt-Prefix', b'ab:800,cd:660'),
+                (b'X-Length-Hint', b'20'),
+                (b'Authorization', b'Bearer key'),
+            ),
+        )
+        assert (call.call_id, call.patience_s, call.key) == (
+            'id-1',
+            1.5,
+            'key',
+        )
+        prompt = call.prompt
+        assert (prompt.tokens_in, prompt.tokens_out) == (1460, 20)
+        assert [part.key for part in prompt.shared_parts] == ['ab']
+
+    @pytest.mark.parametrize(
+        ('name', 'text'),
+        [
+            (b'X-Deadline-Ms', b'soon'),
+            (b'X-Token-Count', b','),
+            (b'X-Prompt-Prefix', b':,x'),
+        ],
+    )
+    def test_unreadable_headers_count_as_missing(self, name, text):
+        """No header of a caller can fail its decoding."""
+        call = decode_call(request((name, text)))
+        assert (call.patience_s, call.prompt.tokens_in) == (0.0, 0)
+
+    @pytest.mark.parametrize('name', FORGED)
+    def test_forged_system_headers_are_dropped(self, name):
+        """What only this system sets never comes from a caller."""
+        call = decode_call(request((name, b'forged')))
+        wire = encode_send(call, SendOrder('i-1', 1.0))
+        assert b'forged' not in wire
+
+    def test_connection_headers_are_dropped(self):
+        """Headers of one connection go no further, named ones neither."""
+        call = decode_call(
+            request(
+                (b'Connection', b'close, X-Own'),
+                (b'X-Own', b'1'),
+                (b'Transfer-Encoding', b'chunked'),
+                (b'X-Kept', b'2'),
+            ),
+        )
+        assert call.headers == ((b'X-Kept', b'2'),)
+
+    def test_sends_method_path_and_body_unchanged(self):
+        """The request is the caller's, with the orders of this system."""
+        call = decode_call(request((b'X-Attempt-Id', b'id-1')))
+        wire = encode_send(call, SendOrder('i-1', 0.25, 'w', urgency=0))
+        head, _, body = wire.partition(b'\r\n\r\n')
+        lines = head.split(b'\r\n')
+        assert lines[0] == b'POST /p/x?q=1 HTTP/1.1'
+        assert body == b'body'
+        assert b'X-Attempt-Id: id-1' in lines
+        assert b'X-Deadline-Ms: 250' in lines
+        assert b'X-Expect-Instance: i-1' in lines
+        assert b'X-Tenant: w' in lines
+        assert b'Content-Length: 4' in lines
+
+
+class TestAnswer:
+    """Test what is read from an answer's head."""
+
+    @pytest.mark.parametrize(
+        ('status', 'headers', 'not_run'),
+        [
+            (503, ((b'X-Not-Executed', b'1'),), True),
+            (421, (), True),
+            (503, (), False),
+            (500, (), False),
+        ],
+    )
+    def test_not_run_is_stated_by_the_server_only(
+        self,
+        status,
+        headers,
+        not_run,
+    ):
+        """A status alone, but for 421, proves nothing."""
+        assert decode_answer(status, headers).not_run is not_run
+
+    def test_passes_receipt_on(self):
+        """The receipt goes to the caller, connection headers do not."""
+        head = decode_answer(
+            200,
+            (
+                (b'X-Server-Seal', b'seal'),
+                (b'X-Attempt-Id', b'id-1'),
+                (b'Keep-Alive', b'timeout=5'),
+                (b'Content-Length', b'3'),
+            ),
+        )
+        assert (head.receipt, head.call_id, head.idle_s) == ('seal', 'id-1', 5)
+        assert [name for name, _ in head.headers] == [
+            b'X-Server-Seal',
+            b'X-Attempt-Id',
+        ]
--- /dev/null
+++ b/tests/test_platform_names.py
@@ -0,0 +1,69 @@
+"""Test that the platform's names stay in its adapter."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+PACKAGE = Path(__file__).parent.parent / 'src' / 'siskinpass'
+ADAPTER = PACKAGE / 'platform'
+# Names of headers, paths, fields and kinds on the platform's wire.
+NAMES = (
+    'x-attempt-id',
+    'x-server-seal',
+    'x-not-executed',
+    'x-deadline-ms',
+    'x-expect-instance',
+    'x-tenant',
+    'x-request-urgency',
+    'x-prompt-prefix',
+    'x-token-count',
+    'x-length-hint',
+    'x-kv-backup',
+    'kv-from',
+    'kv-fetch',
+    'x-hold',
+    'x-pin-ms',
+    'last-event-id',
+    '/-/objects',
+    '/-/resolution',
+    '/-/readiness',
+    '/-/report',
+    'ttl-s',
+    'path-prefix',
+    'route-type',
+    'traffic-split',
+    'max-attempts',
+    'stream-resume',
+    'target-gap-ms',
+    'api-keys',
+    'node-name',
+    'internal-port-range',
+    'retry-budget-ratio',
+    'current-rev',
+    'siskinpass_settings',
+)
+SOURCES = sorted(
+    path for path in PACKAGE.rglob('*.py') if ADAPTER not in path.parents
+)
+
+
+class TestNames:
+    """Test the boundary of the adapter."""
+
+    @pytest.mark.parametrize('path', SOURCES, ids=str)
+    def test_no_wire_name_outside(self, path):
+        """Nothing outside the adapter knows a name of the wire."""
+        text = path.read_text().lower()
+        found = [name for name in NAMES if re.search(re.escape(name), text)]
+        assert not found
+
+    def test_names_stand_in_the_adapter(self):
+        """The list above names what the adapter really decodes."""
+        text = ''.join(
+            path.read_text().lower() for path in ADAPTER.glob('*.py')
+        )
+        unused = {'/-/readiness', '/-/report', 'siskinpass_settings'}
+        assert [name for name in NAMES if name not in text] == [
+            name for name in NAMES if name in unused and name not in text
+        ]
