--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -20,7 +20,7 @@
 from siskinpass.process.fleet.settings import FleetSettings
 from siskinpass.process.fleet.state import StoredState
 from siskinpass.process.fleet.store_client import StoreClient
-from siskinpass.process.fleet.watch import KindWatch
+from siskinpass.process.fleet.watch import KindWatch, watch_wait_s
 from siskinpass.process.limits import LimitPolicy
 from siskinpass.process.logs import PartLog
 from siskinpass.process.metrics import Metrics
@@ -119,10 +119,12 @@
         self._tasks.append(self._loop.create_task(work))
 
     def _follow_store(self) -> None:
-        config = KindWatch(self._store, CONFIG_KIND, self._state.take_config)
-        workers = KindWatch(self._store, WORKERS_KIND, self._state.take_workers)
-        self._start(config.run())
-        self._start(workers.run())
+        wait_s = watch_wait_s(self._settings.promises.contact_s)
+        for kind, tell in (
+            (CONFIG_KIND, self._state.take_config),
+            (WORKERS_KIND, self._state.take_workers),
+        ):
+            self._start(KindWatch(self._store, kind, wait_s, tell).run())
         self._start(self._members.register())
 
     async def _open_peers(self) -> None:
--- a/src/siskinpass/process/fleet/store_client.py
+++ b/src/siskinpass/process/fleet/store_client.py
@@ -29,7 +29,7 @@
 # Twenty times the answer time that the platform states.
 CALL_TIMEOUT_S = 1.0
 # A watch that is silent for longer than it was asked to wait is given up.
-WATCH_MARGIN_S = 1.0
+WATCH_MARGIN_S = 0.5
 CONNECT_TIMEOUT_S = 0.5
 IDLE_KEPT_S = 10.0
 IDLE_KEPT_MOST = 4
--- a/src/siskinpass/process/fleet/watch.py
+++ b/src/siskinpass/process/fleet/watch.py
@@ -7,12 +7,13 @@
 
 from siskinpass.exceptions import FormatError, StoreError
 from siskinpass.platform.objects import Page, StoredObject
-from siskinpass.process.fleet.store_client import StoreClient
+from siskinpass.process.fleet.store_client import WATCH_MARGIN_S, StoreClient
 from siskinpass.process.logs import PartLog
 
-# Calls are priced, so a quiet watch waits long; keep-alive probes notice a
-# connection that fell silent meanwhile.
-WATCH_WAIT_S = 15.0
+# An answer that was lost leaves its connection open and silent. A watch has to
+# be asked anew within the time after which an instance counts as in touch
+# again; a part of that is left for the listing that follows.
+CONTACT_PART = 0.8
 RETRY_LEAST_S = 0.1
 RETRY_MOST_S = 0.6
 
@@ -39,9 +40,18 @@
 News = Listed | Changed | Lost
 
 
+def watch_wait_s(contact_s: float) -> float:
+    """Return how long a watch may wait.
+
+    :param contact_s: calm time after which an instance counts as in touch.
+    """
+    return contact_s * CONTACT_PART - WATCH_MARGIN_S
+
+
 class KindWatch:
     """List a kind once, then follow its changes.
 
+    :param wait_s: longest time that a watch waits, with its margin.
     :param tell: takes what was learnt.
     """
 
@@ -49,12 +59,14 @@
         self,
         store: StoreClient,
         kind: str,
+        wait_s: float,
         tell: Callable[[News], None],
     ) -> None:
         """Start without a revision."""
         self._store = store
         self._kind = kind
         self._tell = tell
+        self._wait_s = wait_s
         self._log = PartLog('store')
         self._revision: int | None = None
         self._is_lost = False
@@ -80,7 +92,7 @@
         page = await self._store.watch_kind(
             self._kind,
             self._revision,
-            WATCH_WAIT_S,
+            self._wait_s,
         )
         if page is None:
             self._log.note('History is gone; listing anew.', kind=self._kind)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -31,6 +31,7 @@
         self._changed = asyncio.Condition()
         self.history_from = 0
         self.is_down = False
+        self.is_mute = False
 
     async def put(self, kind: str, name: str, spec: Any) -> None:
         """Write an object as the operator or a worker does."""
@@ -97,6 +98,8 @@
                 )
         except TimeoutError:
             return self._told([])
+        if self.is_mute:
+            await asyncio.Event().wait()
         if self.is_down:
             raise HangUpError
         return self._told(self._since(kind, since))
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -82,7 +82,7 @@
 
     def header(self, name):
         """Return a header's text, empty where it is missing."""
-        found = re.search(rf'^{name}: (.*?)\r?$', self.head, re.M | re.I)
+        found = re.search(rf'^{name}: (.*?)\r?$', self.head, re.MULTILINE | re.IGNORECASE)
         return found.group(1) if found else ''
 
 
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,99 @@
+"""Test following the store over answers that are lost."""
+
+import asyncio
+
+import pytest
+
+from siskinpass.process.fleet.store_client import WATCH_MARGIN_S, StoreClient
+from siskinpass.process.fleet.watch import (
+    Changed,
+    KindWatch,
+    Listed,
+    Lost,
+    watch_wait_s,
+)
+from standins.fleet import ObjectStore
+from standins.http_server import serve
+from tests.fleet import free_ports, until
+
+KIND = 'things'
+
+
+class Follower:
+    """Keep the objects that a watch told of."""
+
+    def __init__(self):
+        self.known = set()
+        self.lost = 0
+
+    def take(self, news):
+        """Take in one piece of news."""
+        if isinstance(news, Lost):
+            self.lost += 1
+            return
+        if isinstance(news, Listed):
+            self.known = set()
+        assert isinstance(news, Listed | Changed)
+        for stored in news.stored:
+            if stored.is_deleted:
+                self.known.discard(stored.name)
+            else:
+                self.known.add(stored.name)
+
+
+async def follow(scenario, wait_s=0.2):
+    """Run a scenario beside a watch."""
+    store, follower = ObjectStore(), Follower()
+    port = free_ports(1)[0]
+    server = await serve(store, '127.0.0.1', port)
+    client = StoreClient(f'127.0.0.1:{port}', lambda call, outcome: None)
+    watch = KindWatch(client, KIND, wait_s, follower.take)
+    task = asyncio.create_task(watch.run())
+    await store.put(KIND, 'first', 1)
+    await until(lambda: 'first' in follower.known, 'the first object')
+    await scenario(store, follower)
+    task.cancel()
+    server.close()
+
+
+class TestKindWatch:
+    """Test what a watch learns whatever becomes of its answers."""
+
+    def test_follows_changes_and_deletions(self):
+        """Each change is told once it is made."""
+
+        async def scenario(store, follower):
+            await store.put(KIND, 'second', 1)
+            await store.remove(KIND, 'first')
+            await until(lambda: follower.known == {'second'}, 'the changes')
+
+        asyncio.run(follow(scenario))
+
+    def test_lost_answer_is_noticed(self):
+        """A watch whose answer is lost on an open connection is asked anew."""
+
+        async def scenario(store, follower):
+            store.is_mute = True
+            await store.put(KIND, 'second', 1)
+            await until(lambda: follower.lost, 'the silence to be noticed')
+            store.is_mute = False
+            await until(lambda: 'second' in follower.known, 'the change')
+
+        asyncio.run(follow(scenario))
+
+    def test_outage_is_noticed_and_its_changes_are_listed(self):
+        """What changed while the store hung up is found afterwards."""
+
+        async def scenario(store, follower):
+            await store.take_down()
+            await until(lambda: follower.lost, 'the outage')
+            await store.put(KIND, 'second', 1)
+            store.is_down = False
+            await until(lambda: 'second' in follower.known, 'the change')
+
+        asyncio.run(follow(scenario, wait_s=5.0))
+
+    @pytest.mark.parametrize('contact_s', [3.0, 4.0])
+    def test_silence_is_noticed_before_an_instance_is_in_touch(self, contact_s):
+        """A lost answer must not outlast the time of being out of touch."""
+        assert 0 < watch_wait_s(contact_s) + WATCH_MARGIN_S < contact_s
