--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -366,7 +366,7 @@
 
     def _log_grant(self, ticket: Ticket, view: ServerView) -> None:
         load = self._tools.assigner.load_of(ticket, view.name)
-        self._tools.log.note(
+        self._tools.log.often(
             'A request goes to a server.',
             call=self._call.call_id,
             route=ticket.node,
@@ -381,7 +381,7 @@
 
     def _log_end(self) -> None:
         tap = self._tap
-        self._tools.log.note(
+        self._tools.log.often(
             'A request was answered.',
             call=self._call.call_id,
             server=self._server,
--- a/src/siskinpass/process/fleet/serve.py
+++ b/src/siskinpass/process/fleet/serve.py
@@ -11,12 +11,12 @@
 
 from siskinpass.process.fleet.node import FleetNode
 from siskinpass.process.fleet.settings import FleetSettings
-from siskinpass.process.logs import start_logs
+from siskinpass.process.logs import start_pipe_logs
 
 
 def serve(settings: FleetSettings) -> None:
     """Serve until a termination signal, then finish what is open."""
-    start_logs(sys.stdout)
+    start_pipe_logs(sys.stdout.buffer)
     uvloop.run(_serve(settings))
 
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -32,8 +32,11 @@
 """
 
 
-def route(prefix, kind, **more):
-    """Return a route of the configuration."""
+def route(prefix, kind, more=None):
+    """Return a route of the configuration.
+
+    :param more: fields in place of the usual ones.
+    """
     return {
         'name': prefix,
         'host': HOST,
@@ -42,19 +45,19 @@
         'timeout-ms': 3000,
         'target-latency-ms': 200,
         'service': 'app',
-    } | more
+    } | (more or {})
 
 
 ROUTES = (
-    route('/safe/', 'safe', **{'max-attempts': 2}),
+    route('/safe/', 'safe', {'max-attempts': 2}),
     route('/once/', 'unsafe'),
-    route('/short/', 'unsafe', **{'timeout-ms': 300}),
+    route('/short/', 'unsafe', {'timeout-ms': 300}),
     route(
         '/stream/',
         'stream',
-        **{'stream-resume': True, 'max-attempts': 2, 'target-gap-ms': 300},
+        {'stream-resume': True, 'max-attempts': 2, 'target-gap-ms': 300},
     ),
-    route('/plain-stream/', 'stream', **{'target-gap-ms': 300}),
+    route('/plain-stream/', 'stream', {'target-gap-ms': 300}),
 )
 
 
@@ -82,7 +85,9 @@
 
     def header(self, name):
         """Return a header's text, empty where it is missing."""
-        found = re.search(rf'^{name}: (.*?)\r?$', self.head, re.MULTILINE | re.IGNORECASE)
+        found = re.search(
+            rf'^{name}: (.*?)\r?$', self.head, re.MULTILINE | re.IGNORECASE
+        )
         return found.group(1) if found else ''
 
 
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -97,7 +97,7 @@
         made = broker()
         placed = {}
         for number in range(30):
-            now_s = number * 1.0
+            now_s = float(number)
             ticket = prompt(number, number % 3, opened_s=now_s)
             placed |= grants(made.apply(TicketOpened(ticket), now_s))
             made.apply(GrantReleased(ticket.ticket_id), now_s + 0.5)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,6 +10,10 @@
 
 WHOLE = b''.join(f'id: {n}\ndata: x{n}\n\n'.encode() for n in range(1, 9))
 
+POST = b'POST /once/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n'
+TWO_LENGTHS = POST + b'Content-Length: 5\r\n\r\nbodyx'
+LENGTH_AND_CHUNKS = POST + b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
+
 
 def played(scenario, **more):
     """Run a scenario over a running fleet."""
@@ -63,10 +67,8 @@
         'wire',
         [
             b'nonsense\r\n\r\n',
-            b'POST /once/ HTTP/1.1\r\nHost: h.example\r\n'
-            b'Content-Length: 4\r\nContent-Length: 5\r\n\r\nbodyx',
-            b'POST /once/ HTTP/1.1\r\nHost: h.example\r\n'
-            b'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+            TWO_LENGTHS,
+            LENGTH_AND_CHUNKS,
         ],
     )
     def test_refuses_malformed_requests(self, wire):
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -24,8 +24,8 @@
     routes=(route('/'), route('/long/'), route('/long/er/')),
     services={},
     workspaces=(
-        Workspace('plain', frozenset({'key-1'})),
-        Workspace('first', frozenset({'key-2'}), tier=0),
+        Workspace('plain', frozenset(('key-1',))),
+        Workspace('first', frozenset(('key-2',)), tier=0),
     ),
 )
 
