Estimate waits from full windows, and let a collapsed limit grow back

Cause 2 (six open streams, 1 of 6 runs of test_graceful_stop_cuts_nothing traced: three streams ran 3.2 s, three waited 3 s and ran then): one slow token with one request running took a limit from 8 to 2, and the reserve for upper tiers kept it from ever being in use and so from growing.

--- a/src/siskinpass/process/limits.py
+++ b/src/siskinpass/process/limits.py
@@ -94,13 +94,22 @@
         policy = self._policy
         if self._token_s > policy.token_s * TOLERANCE:
             self._shrink(sample)
-        elif sample.running >= self._limit * BUSY_FRACTION:
+        elif self._may_grow(sample):
             # Far below the defended time the limit follows a burst at once.
             far = self._token_s < policy.token_s * FAR_BELOW
             growth = FAR_GROWTH if far else NEAR_GROWTH / self._limit
             grown = self._limit + sample.tokens * growth
             self._limit = min(float(policy.most), grown)
 
+    def _may_grow(self, sample: Sample) -> bool:
+        """Tell whether the limit is in use, or below where it began.
+
+        Below that, a reserve for upper tiers can keep the limit from ever being
+        in use.
+        """
+        is_busy = sample.running >= self._limit * BUSY_FRACTION
+        return is_busy or self._limit < self._policy.start
+
     def _shrink(self, sample: Sample) -> None:
         if sample.now_s - self._decreased_s < DECREASE_EVERY_S:
             return
--- a/src/siskinpass/process/throughput.py
+++ b/src/siskinpass/process/throughput.py
@@ -8,6 +8,8 @@
 
 WINDOW_S = 5.0
 LEAST_GRANTS = 8
+# Grants that began a moment ago tell the speed of a start, not a rate.
+FULL_S = 0.5 * WINDOW_S
 
 
 class GrantRate:
@@ -37,7 +39,8 @@
         )
         if granted < LEAST_GRANTS or ahead == 0:
             return 0.0
-        return ahead * WINDOW_S / granted
+        seen_s = now_s - self._grants[0][0]
+        return ahead * seen_s / granted if seen_s >= FULL_S else 0.0
 
     def _forget(self, now_s: float) -> None:
         while self._grants and self._grants[0][0] < now_s - WINDOW_S:
