Trust a server again once it brings tokens

Cause of KNOWN-RED's six open streams (traced in the broker: all three engines had one failure from their start, so each got one request at a time until its stream of some seconds ended): a probe counted as passed only at its end. Ruled out: the reserve for upper tiers (0 at that time), the limits (8 slots each). Change: tokens that come after the time of shunning end the probing.

--- a/src/siskinpass/process/grants.py
+++ b/src/siskinpass/process/grants.py
@@ -105,6 +105,7 @@
         if server is not None:
             read = unread_of(held.ticket, held.unread)
             server.add(-ServerLoad(unread=read))
+            server.note_progress(now_s)
         held.unread = 0
 
     @_take.register
@@ -122,6 +123,7 @@
     def _observe(self, event: TokensObserved, now_s: float) -> None:
         server = self._table.find(event.server)
         if server is not None:
+            server.note_progress(now_s)
             server.limit.observe(
                 event.token_s,
                 event.first_s,
--- a/src/siskinpass/process/placement.py
+++ b/src/siskinpass/process/placement.py
@@ -81,6 +81,11 @@
         shun_s = SHUN_S * 2 ** (self.failures - 1)
         self.shunned_until_s = now_s + shun_s
 
+    def note_progress(self, now_s: float) -> None:
+        """Trust a server again once it brings tokens after its failures."""
+        if now_s >= self.shunned_until_s:
+            self.failures = 0
+
     def free_slots(self, now_s: float) -> int:
         """Return how many more requests it may get."""
         if self.view.leaving or now_s < self.shunned_until_s:
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -157,6 +157,30 @@
         assert len(commands) == 1
 
 
+class TestTrust:
+    """Test how a server that failed gets requests again."""
+
+    def test_tokens_end_the_probing(self):
+        """A probe that streams frees the server before it ends."""
+        made = broker(servers=1, limit=LimitPolicy(4, 4, 4), pauses=False)
+        made.apply(TicketOpened(ticket('a')), 0.0)
+        made.apply(GrantReleased('a', failed=True), 0.1)
+        opened = [TicketOpened(ticket(name, 0, 1.0)) for name in 'bcd']
+        probe = made.apply_all(opened, 1.0)
+        assert [command.ticket_id for command in probe] == ['b']
+        seen = made.apply(TokensObserved('server-0', 0.01), 1.1)
+        assert [command.ticket_id for command in seen] == ['c', 'd']
+
+    def test_tokens_from_before_prove_nothing(self):
+        """While a server is shunned, streams of old do not free it."""
+        made = broker(servers=1, limit=LimitPolicy(4, 4, 4), pauses=False)
+        made.apply(TicketOpened(ticket('a')), 0.0)
+        made.apply(GrantReleased('a', failed=True), 0.1)
+        made.apply(TokensObserved('server-0', 0.01), 0.11)
+        opened = [TicketOpened(ticket(name, 0, 1.0)) for name in 'bcd']
+        assert len(made.apply_all(opened, 1.0)) == 1
+
+
 class TestAdmission:
     """Test refusals."""
 
