--- a/src/siskinpass/process/fleet/watch.py
+++ b/src/siskinpass/process/fleet/watch.py
@@ -12,8 +12,8 @@
 
 # An answer that was lost leaves its connection open and silent. A watch has to
 # be asked anew within the time after which an instance counts as in touch
-# again; a part of that is left for the listing that follows.
-CONTACT_PART = 0.8
+# again, less what the listing that follows may take.
+LISTING_S = 0.1
 RETRY_LEAST_S = 0.1
 RETRY_MOST_S = 0.6
 
@@ -45,7 +45,7 @@
 
     :param contact_s: calm time after which an instance counts as in touch.
     """
-    return contact_s * CONTACT_PART - WATCH_MARGIN_S
+    return contact_s - LISTING_S - WATCH_MARGIN_S
 
 
 class KindWatch:
