Never write a refusal into a stream that has begun

Found by reading: a resumed stream whose new ticket was refused got a 503 inside its body, and a request that may have run could be told that it had not. A worker's bare 503 was passed on as such a promise too. The open-connection counter that nothing read is removed.

--- a/src/siskinpass/codes.py
+++ b/src/siskinpass/codes.py
@@ -58,6 +58,7 @@
     backend_error = 3006
     retry_budget_spent = 3007
     already_ran = 3008
+    caller_left = 3009
 
     retry_connect_failed = 4001
     retry_reset = 4002
@@ -170,6 +171,7 @@
         'The retry budget of the class is spent.',
     ),
     Code.already_ran: Meaning(409, Ran.was_run, 'A request with this key ran.'),
+    Code.caller_left: Meaning(0, Ran.unknown, 'The caller went away.'),
     Code.retry_connect_failed: _retry('The connection was refused.'),
     Code.retry_reset: _retry('The connection was reset before an answer.'),
     Code.retry_stream_cut: _retry('The stream was cut and is resumed.'),
--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -219,11 +218,6 @@
         self._loop = loop
         self._policy = policy or PoolPolicy()
         self._idle: dict[str, list[BackendConnection]] = {}
-        self._open: Counter[str] = Counter()
-
-    def open_to(self, address: str) -> int:
-        """Return how many connections to an address are open."""
-        return self._open[address]
 
     async def connect(self, address: str, *, fresh: bool) -> BackendConnection:
         """Return a connection, an idle one unless a fresh one is asked for.
@@ -253,7 +247,6 @@
                 Code.backend_unreachable,
                 str(error),
             ) from error
-        self._open[address] += 1
         return connection
 
     def forget(self, address: str) -> None:
@@ -283,7 +276,6 @@
         kept.append(connection)
 
     def _note_closed(self, address: str, connection: BackendConnection) -> None:
-        self._open[address] -= 1
         kept = self._idle.get(address, [])
         if connection in kept:
             kept.remove(connection)
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -148,9 +148,9 @@
         try:
             await self._admit()
         except asyncio.CancelledError:
-            self._note('The caller left.', Code.stream_cut)
+            self._note('The caller left.', Code.caller_left)
         except RefusedError as error:
-            self._refuse(error.code, error.retry_after_ms)
+            self._end_refused(error)
         except Exception as error:
             self._tools.log.warn(
                 'A request failed in this process.',
@@ -212,7 +212,7 @@
         while True:
             ended = await self._attempt(plan)
             if ended.is_success:
-                self._deliver(ended)
+                self._deliver(plan, ended)
                 return
             step = self._next_step(plan, ended)
             self._log_step(plan, ended, step)
@@ -309,20 +309,21 @@
             return True
         return self._tools.may_retry(plan.service)
 
-    def _deliver(self, ended: Ended) -> None:
+    def _deliver(self, plan: '_Plan', ended: Ended) -> None:
         if self._has_begun:
             self._caller.end_stream()
         else:
             self._caller.answer(
                 ended.head.status, ended.head.headers, ended.body
             )
-        self._tools.metrics.answered('', 0)
+        events = self._tap.count if self._tap else 0
+        self._tools.metrics.answered(plan.route.name, events)
         self._log_end()
 
     def _finish(self, step: Step, ended: Ended) -> None:
         if self._has_begun or step is Step.cut:
             self._cut(Code.stream_cut)
-        elif step is Step.pass_on:
+        elif step is Step.pass_on and not ended.head.promises_not_run:
             self._caller.answer(
                 ended.head.status, ended.head.headers, ended.body
             )
@@ -339,6 +340,15 @@
         else:
             self._refuse(Code.wait_too_long)
 
+    def _end_refused(self, error: RefusedError) -> None:
+        """End a request that got no server, by what earlier sends did."""
+        if self._has_begun:
+            self._cut(error.code)
+        elif self._sends.run:
+            self._refuse(Code.outcome_unknown)
+        else:
+            self._refuse(error.code, error.retry_after_ms)
+
     def _cut(self, code: Code) -> None:
         self._note('A stream was cut.', code)
         self._caller.cut_stream()
--- a/src/siskinpass/request/inbound.py
+++ b/src/siskinpass/request/inbound.py
@@ -5,6 +5,7 @@
 Header = tuple[bytes, bytes]
 STATUS_OK = 200
 STATUS_REDIRECT = 300
+PROMISES = frozenset((408, 421, 429, 503))
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +156,6 @@
         return STATUS_OK <= self.status < STATUS_REDIRECT
 
     @property
-    def ends_with_connection(self) -> bool:
-        """Return whether only the connection's end tells the body's end."""
-        return self.length is None and not self.is_chunked
+    def promises_not_run(self) -> bool:
+        """Return whether callers take the status for "not run"."""
+        return self.status in PROMISES
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -142,12 +142,14 @@
     :param hang_ups: requests after whose run it closes the connection.
     :param cuts: streams that it breaks off after a few events.
     :param silent: requests that it never answers.
+    :param bare_refusals: requests that it runs and answers 503.
     """
 
     declines: int = 0
     hang_ups: int = 0
     cuts: int = 0
     silent: int = 0
+    bare_refusals: int = 0
 
 
 @dataclass(slots=True)
@@ -178,6 +180,8 @@
             'X-Attempt-Id': request.headers.get('x-attempt-id', ''),
             'X-Server-Seal': f'seal-{self.name}',
         }
+        if self._takes('bare_refusals'):
+            return Response(503, headers=headers)
         if 'stream' in request.path:
             after = int(request.headers.get('last-event-id', '0'))
             return Response(headers=headers, stream=self._stream(after))
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -82,6 +82,7 @@
     head: str = ''
     body: bytes = b''
     is_whole: bool = True
+    raw: bytes = b''
 
     def header(self, name):
         """Return a header's text, empty where it is missing."""
@@ -179,12 +180,11 @@
     text = head.decode()
     status = int(text.split()[1])
     if 'chunked' not in text.lower():
-        return Answer(status, text, body)
+        return Answer(status, text, body, raw=arrived)
     whole = body.endswith(b'0\r\n\r\n')
     chunks = re.split(rb'(?:^|\r\n)[0-9a-f]+\r\n', body)
-    return Answer(
-        status, text, b''.join(chunks).strip(b'\r\n') + b'\n\n', whole
-    )
+    text_body = b''.join(chunks).strip(b'\r\n') + b'\n\n'
+    return Answer(status, text, text_body, whole, arrived)
 
 
 async def until(holds, what):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -154,6 +154,37 @@
 
         played(scenario)
 
+    def test_stream_that_finds_no_other_server_is_cut(self):
+        """No answer of the router is written into a stream that has begun."""
+
+        async def scenario(fleet):
+            worker = fleet.workers[0]
+            worker.gap_s = 0.2
+            worker.faults.cuts = 1
+            asked = asyncio.create_task(
+                fleet.ask('/stream/stream', more='X-Length-Hint: 8\r\n'),
+            )
+            await until(lambda: fleet.runs, 'the run')
+            await fleet.store.remove('servers', worker.name)
+            answer = await asked
+            assert WHOLE.startswith(answer.body.rstrip())
+            assert (answer.status, answer.is_whole) == (200, False)
+            assert answer.raw.count(b'HTTP/1.1') == 1
+
+        played(scenario, workers=1)
+
+    def test_promise_of_a_worker_that_may_have_run_is_not_passed_on(self):
+        """A status that means "not run" needs the worker's own word for it."""
+
+        async def scenario(fleet):
+            for worker in fleet.workers:
+                worker.faults.bare_refusals = 1
+            answer = await fleet.ask('/once/x')
+            assert answer.status == MEANINGS[Code.outcome_unknown].status
+            assert len(fleet.runs) == 1
+
+        played(scenario)
+
 
 class TestPlatform:
     """Test the store's faults and what it tells."""
