--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -31,20 +31,22 @@
     """Set the weights of the cost.
 
     :param running_tokens: cost of one running request. On the sheets a step
-        takes 0.165 ms longer for it; over some 120 steps that is the time in
-        which an engine reads about 1,200 prompt tokens.
-    :param reread_factor: weight of tokens that another server has cached.
+        takes 0.165 ms longer for it; over 40 steps that is the time in which
+        an engine reads about 400 prompt tokens.
+    :param reread_factor: weight of tokens that another server has cached;
+        3 diverted half again as many, see docs/design/platform.md.
     :param home_tokens: what a server that is not the home of the prompt's
         last shared part costs more. Equal servers are told apart by it, so
         that parts spread over all memories and two instances choose alike.
-    :param lane_penalty: cost of sharing an engine against the lanes, about
-        one second of reading.
+    :param lane_penalty: cost of sharing an engine against the lanes: ten
+        seconds of reading, so that only failures bring it about.
     :param lane_streams: streams with a tight pause for each engine of their
         lane; with more, their own prompts stretch their pauses.
     :param lane_least: part of the engines that the lane takes at least.
     :param lane_most: part of the engines that the lane may take.
     :param lane_hold_s: time in which an unused lane shrinks to about a third.
-    :param trouble_tokens: cost of a server that fails all requests.
+    :param trouble_tokens: cost of a server that fails all requests, two
+        seconds of reading.
     :param long_tokens: prompts above this length do not belong in the lane.
         An engine reads 4,096 tokens between two steps.
     :param ahead_s: reading time that is placed on an engine ahead of a
@@ -52,8 +54,9 @@
     :param tight_wait_s: longest time that a stream with a tight pause waits
         for its prompt's turn; a fifth of the shortest target of the sheets.
     :param unread_most: prompt tokens of a tier and those above it that an
-        engine may have unread, should it be slower than expected.
-    :param plain_overfull: requests for each slot of a plain service.
+        engine may have unread, should it be slower than expected: a second.
+    :param plain_overfull: requests for each slot of a plain service; the half
+        beyond it covers the way to the server and back.
     """
 
     running_tokens: float = 400.0
