--- a/src/siskinpass/cli.py
+++ b/src/siskinpass/cli.py
@@ -6,6 +6,7 @@
 from cyclopts import App, Parameter
 from cyclopts.config import Env
 
+from siskinpass.cli_check import check
 from siskinpass.cli_status import status
 from siskinpass.cli_tree import key_command, tree_app
 from siskinpass.exceptions import SiskinpassError
@@ -20,6 +21,7 @@
 app.command(tree_app)
 app.command(key_command, name='key')
 app.command(status, name='status')
+app.command(check, name='check')
 
 
 @app.command(name='serve')
--- a/src/siskinpass/platform/config.py
+++ b/src/siskinpass/platform/config.py
@@ -42,19 +42,23 @@
     :raises FormatError: where a field is missing or wrong; a table is never
         applied in part.
     """
-    services = [_service(row) for row in read_tables(spec, 'services')]
+    services = [decode_service(row) for row in read_tables(spec, 'services')]
     return RouteTable(
         version=read_field(spec, 'version', int),
-        routes=tuple(_route(row) for row in read_tables(spec, 'routes')),
+        routes=tuple(decode_route(row) for row in read_tables(spec, 'routes')),
         services={service.name: service for service in services},
         limits=_limits(read_field(spec, 'limits', dict, {})),
         workspaces=tuple(
-            _workspace(row) for row in read_tables(spec, 'tenants')
+            decode_workspace(row) for row in read_tables(spec, 'tenants')
         ),
     )
 
 
-def _route(row: Mapping[str, Any]) -> Route:
+def decode_route(row: Mapping[str, Any]) -> Route:
+    """Return one route.
+
+    :raises FormatError: where a field is missing or wrong.
+    """
     repeat = REPEATS.get(read_field(row, 'route-type', str))
     if repeat is None:
         raise FormatError(Code.document_wrong, f'route-type: {row}')
@@ -93,7 +97,11 @@
     return used
 
 
-def _service(row: Mapping[str, Any]) -> Service:
+def decode_service(row: Mapping[str, Any]) -> Service:
+    """Return one service.
+
+    :raises FormatError: where a field is missing or wrong.
+    """
     engine = row.get('engine')
     return Service(
         name=read_field(row, 'name', str),
@@ -126,7 +134,11 @@
     )
 
 
-def _workspace(row: Mapping[str, Any]) -> Workspace:
+def decode_workspace(row: Mapping[str, Any]) -> Workspace:
+    """Return one workspace.
+
+    :raises FormatError: where a field is missing or wrong.
+    """
     tier = row.get('priority')
     return Workspace(
         name=read_field(row, 'name', str),
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -8,6 +8,7 @@
 from siskinpass.exceptions import FormatError, SettingsError
 from siskinpass.platform import directory, objects
 from siskinpass.platform.boot import decode_settings
+from siskinpass.platform.check import find_faults
 from siskinpass.platform.config import decode_config
 from siskinpass.platform.workers import decode_worker
 from siskinpass.process.membership import Member
@@ -142,6 +143,35 @@
             decode_config(changed(CONFIG, path, value))
 
 
+class TestFaults:
+    """Test that a check tells every fault with its place."""
+
+    @pytest.mark.parametrize(
+        ('document', 'places'),
+        [
+            (CONFIG, []),
+            (CONFIG | {'routes': [ROUTE, 5, {}]}, ['routes/1', 'routes/2']),
+            (
+                CONFIG | {'services': {}, 'tenants': [{}]},
+                ['services', 'tenants/0'],
+            ),
+            (CONFIG | {'version': 'x'}, ['']),
+        ],
+    )
+    def test_names_places(self, document, places):
+        """Faults of several rows are told at once."""
+        faults = find_faults(orjson.dumps(document))
+        assert [fault.path for fault in faults] == places
+
+    @pytest.mark.parametrize(
+        ('text', 'count'),
+        [(SETTINGS, 0), ('node-name: 5', 1), ('{', 1), ('5', 1)],
+    )
+    def test_reads_settings(self, text, count):
+        """A document without routes is a settings file."""
+        assert len(find_faults(text.encode())) == count
+
+
 class TestWorkers:
     """Test the entries of backend servers."""
 
