--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -74,17 +74,6 @@
         found = self.broker(ticket.pool).table.find(server)
         return found.load if found else ServerLoad()
 
-    def cached_most(self, ticket: Ticket) -> int:
-        """Return the most tokens of a prompt that any server has cached."""
-        table = self.broker(ticket.pool).table
-        return max(
-            (
-                table.cache.cached(server.view.name, ticket.pieces)
-                for server in table.servers
-            ),
-            default=0,
-        )
-
     @property
     def running(self) -> int:
         """Return how many requests run on backend servers."""
--- a/src/siskinpass/version/routes.py
+++ b/src/siskinpass/version/routes.py
@@ -6,7 +6,7 @@
 
 import enum
 from bisect import bisect
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from functools import cached_property
 from itertools import accumulate
@@ -182,14 +182,5 @@
     return workspace.tier
 
 
-def newest(tables: Iterable[RouteTable]) -> RouteTable | None:
-    """Return the table with the highest version, or none."""
-    return max(tables, key=_version, default=None)
-
-
 def _prefix_length(route: Route) -> int:
     return len(route.prefix)
-
-
-def _version(table: RouteTable) -> int:
-    return table.version
