Rank classes below their workspace's tier, not instead of it

Cause: on the platform every workspace carries a priority, nearly all the same one.

Ruled out: a fault of the queue itself; its order by tier is tested and was never given more than one tier (log field "tier": 1 for 95%).

Change: the table ranks pairs of the workspace's and the route's tier without gaps. The workspace still goes first; equal workspaces keep the order of their classes. The test of the old reading is replaced by a table over both workspaces and classes.

--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -32,7 +32,6 @@
     Route,
     RouteTable,
     Workspace,
-    tier_of,
 )
 
 MS_PER_S = 1000
@@ -438,7 +437,7 @@
     @property
     def tier(self) -> int:
         """Return the tier of the request."""
-        return tier_of(self.route, self.workspace)
+        return self.table.tier_of(self.route, self.workspace)
 
 
 STATUS_UNAVAILABLE = 503
--- a/src/siskinpass/version/routes.py
+++ b/src/siskinpass/version/routes.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from functools import cached_property
-from itertools import accumulate
+from itertools import accumulate, product
 
 
 class Repeat(enum.Enum):
@@ -125,7 +125,8 @@
 class Workspace:
     """Describe one workspace.
 
-    :param tier: overrides the tier of each route where it is given.
+    :param tier: goes before the tiers of the routes, 0 is the most urgent;
+        without one the workspace ranks as the least urgent of the others.
     """
 
     name: str
@@ -159,6 +160,33 @@
         """Return the workspace that holds a key, or none."""
         return self._by_key.get(key)
 
+    def tier_of(self, route: Route, workspace: Workspace | None) -> int:
+        """Return the tier of a request, 0 for the most urgent of the table.
+
+        A workspace's tier goes before that of the route; among workspaces of
+        one tier the classes keep the order of their routes.
+        """
+        return self._tiers[self._workspace_tier(workspace), route.tier]
+
+    @cached_property
+    def _tiers(self) -> dict[tuple[int, int], int]:
+        """Number the pairs of tiers without gaps."""
+        upper = {self._workspace_tier(one) for one in self.workspaces}
+        upper.add(self._least_tier)
+        lower = {route.tier for route in self.routes}
+        pairs = sorted(product(upper, lower))
+        return {pair: tier for tier, pair in enumerate(pairs)}
+
+    @cached_property
+    def _least_tier(self) -> int:
+        tiers = (one.tier for one in self.workspaces if one.tier is not None)
+        return max(tiers, default=0)
+
+    def _workspace_tier(self, workspace: Workspace | None) -> int:
+        if workspace is None or workspace.tier is None:
+            return self._least_tier
+        return workspace.tier
+
     @cached_property
     def _by_host(self) -> dict[str, list[Route]]:
         by_host: dict[str, list[Route]] = {}
@@ -175,12 +203,5 @@
         }
 
 
-def tier_of(route: Route, workspace: Workspace | None) -> int:
-    """Return the tier of a request; the workspace overrides the route."""
-    if workspace is None or workspace.tier is None:
-        return route.tier
-    return workspace.tier
-
-
 def _prefix_length(route: Route) -> int:
     return len(route.prefix)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -8,7 +8,6 @@
     RouteTable,
     Share,
     Workspace,
-    tier_of,
 )
 
 SHARES = (Share('a', 90), Share('b', 10))
@@ -29,6 +28,16 @@
     ),
 )
 
+RANKED = RouteTable(
+    version=4,
+    routes=(route('/', tier=0), route('/long/', tier=2)),
+    services={},
+    workspaces=(
+        *TABLE.workspaces,
+        Workspace('second', frozenset(('key-4',)), tier=1),
+    ),
+)
+
 
 class TestRouteTable:
     """Test the look-ups."""
@@ -49,13 +58,29 @@
         assert (found and found.prefix) == expected
 
     @pytest.mark.parametrize(
-        ('key', 'expected'),
-        [('key-1', 2), ('key-2', 0), ('key-3', 2)],
+        ('key', 'path', 'expected'),
+        [
+            ('key-2', '/', 0),
+            ('key-2', '/long/', 1),
+            ('key-4', '/', 2),
+            ('key-4', '/long/', 3),
+            ('key-1', '/', 2),
+            ('key-3', '/long/', 3),
+        ],
     )
-    def test_workspace_overrides_tier(self, key, expected):
-        """A workspace's own tier goes before that of the route."""
-        workspace = TABLE.workspace_of(key)
-        assert tier_of(route('/', tier=2), workspace) == expected
+    def test_workspace_goes_before_class(self, key, path, expected):
+        """Classes keep their order among workspaces of one tier."""
+        found = RANKED.tier_of(
+            RANKED.find('h.example', path),
+            RANKED.workspace_of(key),
+        )
+        assert found == expected
+
+    def test_tiers_without_workspaces_are_those_of_the_classes(self):
+        """Only the order of the classes counts where nobody is ranked."""
+        table = RouteTable(1, RANKED.routes, {})
+        tiers = [table.tier_of(one, None) for one in table.routes]
+        assert tiers == [0, 1]
 
     @pytest.mark.parametrize(
         ('draw', 'expected'),
