Let short prompts leave their home; count reading of lower tiers half

Cause 1: a short prompt of a stream with a tight pause paid 8,000 tokens for any engine but its home, four times its own length, and so queued in its lane beside an idle engine. The cost of another engine is now at most 0.6 of the shared tokens for these.

--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -36,9 +36,14 @@
         an engine reads about 400 prompt tokens.
     :param reread_factor: weight of tokens that another server has cached;
         3 diverted half again as many, see docs/design/platform.md.
+    :param behind_weight: weight of unread prompts of lower tiers. An engine
+        goes on with the chunk that it reads, and its streams' pauses grow.
     :param home_tokens: what a server that is not the home of the prompt's
         last shared part costs more. Equal servers are told apart by it, so
         that parts spread over all memories and two instances choose alike.
+    :param tight_home_factor: bounds the same for streams with a tight pause,
+        by the tokens of their short shared parts: the lane's even pace is
+        worth more than reading these again.
     :param lane_penalty: cost of sharing an engine against the lanes: ten
         seconds of reading, so that only failures bring it about.
     :param lane_streams: streams with a tight pause for each engine of their
@@ -61,8 +66,10 @@
     """
 
     running_tokens: float = 400.0
+    behind_weight: float = 0.5
     reread_factor: float = 10.0
     home_tokens: float = 8000.0
+    tight_home_factor: float = 0.6
     lane_penalty: float = 500_000.0
     lane_streams: int = 14
     lane_least: float = 0.25
@@ -117,15 +124,17 @@
         What waits here instead of at the engine keeps its order by target.
         """
         policy = self._policy
-        if server.load.unread_to(ticket.tier) > policy.unread_most:
-            return False
+        unread = server.load.unread_to(ticket.tier)
         if ticket.is_tight:
             # One prompt after the other stretches the streams' pauses least.
             return (
                 server.reading.paced_s(now_s) == 0
                 or now_s - ticket.opened_s > policy.tight_wait_s
             )
-        return server.reading.ahead_s(ticket.tier, now_s) <= policy.ahead_s
+        return (
+            unread <= policy.unread_most
+            and server.reading.ahead_s(ticket.tier, now_s) <= policy.ahead_s
+        )
 
 
 class _LaneSize:
@@ -188,12 +197,14 @@
         name = server.view.name
         cached = self._cached[name]
         load = server.load
-        cost = load.unread_to(self._ticket.tier)
+        ahead = load.unread_to(self._ticket.tier)
+        behind = sum(load.unread) - ahead
+        cost = ahead + behind * policy.behind_weight
         cost += self._ticket.tokens_in - cached
         cost += (self._most_cached - cached) * (policy.reread_factor - 1)
         cost += load.running * policy.running_tokens
         cost += server.trouble * policy.trouble_tokens
-        cost += 0 if name == self._home else policy.home_tokens
+        cost += 0 if name == self._home else self._away_cost()
         return cost + self._lane_cost(server), name
 
     def _find_home(self, servers: Sequence[Server]) -> str:
@@ -205,6 +216,13 @@
         shared = self._ticket.pieces[:-1] or self._ticket.pieces
         return holder(str(shared[-1].key), names)
 
+    def _away_cost(self) -> float:
+        policy = self._policy
+        if not self._ticket.is_tight:
+            return policy.home_tokens
+        shared = sum(piece.tokens for piece in self._ticket.pieces[:-1])
+        return min(policy.home_tokens, shared * policy.tight_home_factor)
+
     def _lane_cost(self, server: Server) -> float:
         in_lane = server.view.name in self._lane
         if not self._lane:
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -26,6 +26,9 @@
 SERVERS = tuple(
     ServerView(f'e-{n}', '1.1.1.1:1', 'lm', slots=64) for n in range(5)
 )
+MORE = tuple(
+    ServerView(f'm-{n}', '1.1.1.1:1', 'lm', slots=64) for n in range(3)
+)
 PLAIN = tuple(
     ServerView(f's-{n}', '1.1.1.1:1', 'app', slots=6) for n in range(3)
 )
@@ -209,6 +212,30 @@
         placed = grants(made.apply(TicketOpened(upper), 0.01))
         assert list(placed) == ['t-99']
 
+    def test_short_prompts_leave_a_busy_home(self):
+        """A burst over one shared part is spread over the lane."""
+        made = broker((*SERVERS, *MORE))
+        placed = []
+        for number in range(8):
+            ticket = tight(7 * number, opened_s=0.0)
+            placed.extend(
+                grants(made.apply(TicketOpened(ticket), 0.0)).values(),
+            )
+        assert len(placed) == 2
+        assert len(set(placed)) == 2
+
+    def test_upper_tier_goes_where_less_is_read(self):
+        """Drafts that an engine reads count for a review as well."""
+        made = broker()
+        drafts = ServerLoad(1, 0, (0, 0, 20_000))
+        loads = {view.name: drafts for view in SERVERS if view.name != 'e-3'}
+        made.apply(PeerLoadsTold(loads), 0.0)
+        placed = [
+            grants(made.apply(TicketOpened(prompt(n, n, tier=1)), 0.0))
+            for n in range(3)
+        ]
+        assert 'e-3' in placed[0].values()
+
     def test_upper_tier_waits_for_its_own_backlog(self):
         """Reviews in a burst are placed no further ahead than drafts."""
         made = broker()
