Know cached parts in whatever order the store tells; ask at a start

Cause: a broker took the memory of its engines from the configuration when it was made, and it was made as soon as the servers were listed.

Ruled out: evicted parts (until 33 s the engines read 616,000 tokens again, of which 514,000 by choice); ids of another form; lost datagrams.

Change: a configuration tells the servers once more, and the assigner sizes the map anew. A starting instance also asks each engine once what it keeps, except at the first start of the whole system. A stored configuration that is no table is a format error.

--- a/src/siskinpass/platform/boot.py
+++ b/src/siskinpass/platform/boot.py
@@ -62,6 +62,7 @@
         peer_port=int(ports[0]),
         metrics_port=int(ports[1]),
         store=read_field(store, 'address', str),
+        is_first_start=read_field(table, 'bootstrap', bool, default=False),
         promises=_promises(read_field(table, 'bounds', dict, {})),
     )
 
--- a/src/siskinpass/platform/config.py
+++ b/src/siskinpass/platform/config.py
@@ -36,12 +36,14 @@
 IDLE_TIMEOUT_MS = 60_000
 
 
-def decode_config(spec: Mapping[str, Any]) -> RouteTable:
+def decode_config(spec: Any) -> RouteTable:
     """Return the routing table that a configuration states.
 
     :raises FormatError: where a field is missing or wrong; a table is never
         applied in part.
     """
+    if not isinstance(spec, dict):
+        raise FormatError(Code.document_wrong, f'configuration: {spec!r:.60}')
     services = [decode_service(row) for row in read_tables(spec, 'services')]
     return RouteTable(
         version=read_field(spec, 'version', int),
--- /dev/null
+++ b/src/siskinpass/platform/engines.py
@@ -0,0 +1,27 @@
+"""Ask a model engine which prompt parts it keeps."""
+
+import orjson
+
+from siskinpass.codes import Code
+from siskinpass.exceptions import FormatError
+from siskinpass.platform.fields import read_field
+from siskinpass.request.inbound import PromptPart
+
+KEPT_PARTS_CALL = b'GET /-/kv-list HTTP/1.1\r\nHost: engine\r\n\r\n'
+# Each row: an empty text, the part's id, the tokens kept of it, the model.
+PART_ID = 1
+PART_TOKENS = 2
+
+
+def decode_kept_parts(body: bytes) -> tuple[PromptPart, ...]:
+    """Return the prompt parts that an engine keeps.
+
+    :raises FormatError: where the answer cannot be read.
+    """
+    try:
+        rows = read_field(dict(orjson.loads(body)), 'held', list)
+        return tuple(
+            PromptPart(str(row[PART_ID]), int(row[PART_TOKENS])) for row in rows
+        )
+    except (ValueError, TypeError, LookupError) as error:
+        raise FormatError(Code.document_wrong, f'held: {error}') from error
--- a/src/siskinpass/process/cache_map.py
+++ b/src/siskinpass/process/cache_map.py
@@ -22,9 +22,14 @@
 
         :param memory_tokens: tokens that the engine's memory holds.
         """
-        self._most = memory_tokens * CACHED_PART
         self._parts: OrderedDict[int, int] = OrderedDict()
         self._tokens = 0
+        self.resize(memory_tokens)
+
+    def resize(self, memory_tokens: int) -> None:
+        """Take in another size of the engine's memory."""
+        self._most = memory_tokens * CACHED_PART
+        self._drop_oldest()
 
     def cached(self, pieces: Sequence[PromptPiece]) -> int:
         """Return how many tokens at the start of a prompt are cached."""
@@ -43,6 +48,9 @@
             else:
                 self._parts[piece.key] = piece.tokens
                 self._tokens += piece.tokens
+        self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
         while self._tokens > self._most and self._parts:
             _, tokens = self._parts.popitem(last=False)
             self._tokens -= tokens
@@ -72,6 +80,13 @@
             self._caches[server] = cache
         cache.note(pieces)
 
+    def resize(self, memory_tokens: int) -> None:
+        """Take in another size of the engines' memory."""
+        if memory_tokens != self._memory_tokens:
+            self._memory_tokens = memory_tokens
+            for cache in self._caches.values():
+                cache.resize(memory_tokens)
+
     def forget(self, server: str) -> None:
         """Forget a server that ended or started anew."""
         self._caches.pop(server, None)
--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -119,13 +119,16 @@
             self._apply(ticket.pool, released)
 
     def list_servers(self, views: Iterable[ServerView]) -> None:
-        """Take the servers of all services."""
+        """Take the servers of all services, also when the services change."""
         by_pool: dict[str, list[ServerView]] = {}
         self._views = {}
         for view in views:
             self._views[view.name] = view
             by_pool.setdefault(view.pool, []).append(view)
         for pool in self._brokers.keys() | by_pool.keys():
+            # A configuration may describe engines that were listed before.
+            memory_tokens = self._policy_of(pool).memory_tokens
+            self.broker(pool).table.cache.resize(memory_tokens)
             self._apply(pool, ServersListed(tuple(by_pool.get(pool, ()))))
 
     def take_peer_loads(self, loads: Mapping[str, ServerLoad]) -> None:
@@ -133,6 +136,11 @@
         for pool in self._brokers:
             self._apply(pool, PeerLoadsTold(loads))
 
+    @property
+    def servers(self) -> Iterable[ServerView]:
+        """Return the servers of all services."""
+        return self._views.values()
+
     def note_placed(self, placed: PromptPlaced) -> None:
         """Take in a prompt that another instance placed."""
         view = self._views.get(placed.server)
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -15,6 +15,7 @@
 from siskinpass.process.broker import BrokerPolicy
 from siskinpass.process.fleet.assigner import Assigner
 from siskinpass.process.fleet.forward import Forwarder, RetryBudgets, Tools
+from siskinpass.process.fleet.kept_parts import KeptParts
 from siskinpass.process.fleet.loads import LoadExchange
 from siskinpass.process.fleet.members import FleetMembers
 from siskinpass.process.fleet.settings import FleetSettings
@@ -69,6 +70,7 @@
         self._members = FleetMembers(settings, self._store)
         self._assigner = Assigner(self._policy_of, self._tell_placed)
         self._state = StoredState(self._assigner.list_servers)
+        self._backends = BackendPool(self._loop, BACKEND_POOL)
         self._forwarder = Forwarder(self._tools())
         self._loads = LoadExchange(
             settings.name,
@@ -95,6 +97,19 @@
             await stopping
         await self._drain()
 
+    def _learn_kept_parts(self) -> None:
+        """Ask the engines, which may have run before this process."""
+        if self._settings.is_first_start:
+            return
+        services = self._state.table().services
+        engines = [
+            view
+            for view in self._assigner.servers
+            if view.pool in services and services[view.pool].engine
+        ]
+        learner = KeptParts(self._backends, self._assigner.note_placed)
+        self._start(learner.learn(engines))
+
     def _tools(self) -> Tools:
         bounds = self._settings.promises.retries
         budgets = RetryBudgets(
@@ -104,7 +119,7 @@
         return Tools(
             table=self._state.table,
             assigner=self._assigner,
-            backends=BackendPool(self._loop, BACKEND_POOL),
+            backends=self._backends,
             metrics=self._metrics,
             may_retry=budgets.spend,
             note_request=budgets.note_request,
@@ -150,6 +165,7 @@
         )
 
     async def _open_callers(self) -> None:
+        self._learn_kept_parts()
         settings = self._settings
         await self._listen(settings.callers, self._forwarder.serve)
         await self._listen(settings.directory, self._serve_directory)
--- a/src/siskinpass/process/fleet/settings.py
+++ b/src/siskinpass/process/fleet/settings.py
@@ -46,6 +46,7 @@
     :param peer_port: UDP port for the other instances.
     :param metrics_port: TCP port of the metrics.
     :param store: address of the object store.
+    :param is_first_start: whether the whole system starts for the first time.
     """
 
     name: str
@@ -57,6 +58,7 @@
     peer_port: int
     metrics_port: int
     store: str
+    is_first_start: bool = False
     promises: Promises = field(default_factory=Promises)
 
     @property
--- a/src/siskinpass/process/fleet/state.py
+++ b/src/siskinpass/process/fleet/state.py
@@ -17,7 +17,8 @@
 class StoredState:
     """Own the newest routing table and the registry's entries.
 
-    :param on_servers: takes the servers whenever they changed.
+    :param on_servers: takes the servers whenever they or the configuration
+        changed.
     """
 
     def __init__(
@@ -93,6 +94,7 @@
             revision=stored.revision,
             routes=len(table.routes),
         )
+        self._on_servers(self._servers.views)
         self._check_ready()
 
     def _change(self, stored: StoredObject, now_s: float) -> None:
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -124,6 +124,12 @@
         shares = decode_config(config).routes[0].shares
         assert [share.service for share in shares] == ['a']
 
+    @pytest.mark.parametrize('document', [5, None, 'text', [CONFIG]])
+    def test_no_table_is_no_configuration(self, document):
+        """A value of another kind is told apart from a configuration."""
+        with pytest.raises(FormatError):
+            decode_config(document)
+
     @pytest.mark.parametrize(
         ('path', 'value'),
         [
