Explain a request from the logs of all instances

`siskinpass explain ID < logs` follows one request's lines in order of time, with what happened at its instance and its servers around it, and how many other requests failed there. Each line of a fleet's logs now names its instance, as logs of many are read together.

tests/test_explain.py makes real instances over the stand-ins fail a request in three ways (cut by a crash, refused under load, hit by a change of the configuration) and finds each cause by the id alone.

--- a/src/siskinpass/cli.py
+++ b/src/siskinpass/cli.py
@@ -7,6 +7,7 @@
 from cyclopts.config import Env
 
 from siskinpass.cli_check import check
+from siskinpass.cli_explain import explain
 from siskinpass.cli_status import status
 from siskinpass.cli_tree import key_command, tree_app
 from siskinpass.exceptions import SiskinpassError
@@ -22,6 +23,7 @@
 app.command(key_command, name='key')
 app.command(status, name='status')
 app.command(check, name='check')
+app.command(explain, name='explain')
 
 
 @app.command(name='serve')
--- a/src/siskinpass/process/fleet/serve.py
+++ b/src/siskinpass/process/fleet/serve.py
@@ -16,7 +16,7 @@
 
 def serve(settings: FleetSettings) -> None:
     """Serve until a termination signal, then finish what is open."""
-    start_pipe_logs(sys.stdout.buffer)
+    start_pipe_logs(sys.stdout.buffer, settings.name)
     uvloop.run(_serve(settings))
 
 
--- a/src/siskinpass/process/logs.py
+++ b/src/siskinpass/process/logs.py
@@ -113,8 +113,12 @@
             self.note('Lines were left out.', kind=sentence, lines=lines)
 
 
-def start_pipe_logs(pipe: BinaryIO) -> None:
-    """Send the logs to a pipe as JSON lines, without waiting for its reader."""
+def start_pipe_logs(pipe: BinaryIO, instance: str) -> None:
+    """Send the logs to a pipe as JSON lines, without waiting for its reader.
+
+    :param instance: stands in each line, as logs of many are read together.
+    """
+    eliot.add_global_fields(instance=instance)
     eliot.to_file(LineWriter(pipe))
 
 
--- /dev/null
+++ b/src/siskinpass/process/request_story.py
@@ -0,0 +1,153 @@
+"""Follow one request through the logs of all instances. Pure logic."""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from siskinpass.codes import MEANINGS, Code
+
+# What happened at a server or at an instance this long before or after a
+# request's own lines may have to do with them.
+AROUND_S = 2.0
+# Fields of every line, which say nothing of one request.
+COMMON_FIELDS = frozenset(
+    (
+        'timestamp',
+        'task_uuid',
+        'task_level',
+        'message_type',
+        'text',
+        'instance',
+        'call',
+    ),
+)
+SERVER_PARTS = frozenset(('state',))
+INSTANCE_PARTS = frozenset(('state', 'store', 'node'))
+FAILURES = frozenset((
+    'An attempt failed.',
+    'A stream was cut.',
+    'A request was refused.',
+))
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """Hold one line of a log.
+
+    :param at_s: Unix time.
+    :param instance: instance that wrote it, empty where it does not say.
+    :param part: part of the process.
+    :param fields: all fields as they were written.
+    """
+
+    at_s: float
+    instance: str
+    part: str
+    text: str
+    fields: dict[str, Any] = field(default_factory=dict)
+
+    @property
+    def call(self) -> str:
+        """Return the id of the request that it tells of, or nothing."""
+        return str(self.fields.get('call', ''))
+
+    @property
+    def server(self) -> str:
+        """Return the backend server that it names, or nothing."""
+        return str(self.fields.get('server', ''))
+
+    @property
+    def is_failure(self) -> bool:
+        """Return whether it tells of a request that failed."""
+        return self.text in FAILURES
+
+
+def read_log(lines: Iterable[bytes]) -> Iterator[LogLine]:
+    """Return the log lines among the given ones, whatever precedes them."""
+    for line in lines:
+        start = line.find(b'{')
+        try:
+            told = orjson.loads(line[start:]) if start >= 0 else None
+        except orjson.JSONDecodeError:
+            continue
+        if isinstance(told, dict) and 'timestamp' in told:
+            yield LogLine(
+                at_s=float(told['timestamp']),
+                instance=str(told.get('instance', '')),
+                part=str(told.get('message_type', '')).partition(':')[0],
+                text=str(told.get('text', '')),
+                fields=told,
+            )
+
+
+def tell_story(log: Sequence[LogLine], call_id: str) -> list[str]:
+    """Return what the logs tell of one request, in order of time.
+
+    Its own lines come first, then what happened at its instance and at its
+    servers around that time.
+
+    :returns: lines of text, none where the id is not in the logs.
+    """
+    own = sorted(
+        (line for line in log if line.call == call_id),
+        key=lambda line: line.at_s,
+    )
+    if not own:
+        return []
+    began_s = own[0].at_s
+    told = [_format(line, began_s) for line in own]
+    around = [line for line in log if _is_around(line, own)]
+    around.sort(key=lambda line: line.at_s)
+    if around:
+        told.append('Around it:')
+        told.extend(_format(line, began_s) for line in around)
+    told.extend(_tell_others(log, own))
+    return told
+
+
+def _is_around(line: LogLine, own: Sequence[LogLine]) -> bool:
+    if line.call:
+        return False
+    first, last = own[0], own[-1]
+    if not first.at_s - AROUND_S <= line.at_s <= last.at_s + AROUND_S:
+        return False
+    if line.server:
+        servers = {other.server for other in own}
+        return line.part in SERVER_PARTS and line.server in servers
+    return line.part in INSTANCE_PARTS and line.instance == first.instance
+
+
+def _tell_others(log: Sequence[LogLine], own: Sequence[LogLine]) -> list[str]:
+    """Count the other requests that failed at the same servers."""
+    failures = {line.server: line.at_s for line in own if line.is_failure}
+    others: Counter[str] = Counter()
+    for line in log:
+        failed_s = failures.get(line.server)
+        if failed_s is None or not line.server or not line.is_failure:
+            continue
+        if line.call != own[0].call and abs(line.at_s - failed_s) <= AROUND_S:
+            others[line.server] += 1
+    return [
+        f'Within {AROUND_S:.0f} s at {server}: {count} other failures'
+        for server, count in others.items()
+    ]
+
+
+def _format(line: LogLine, began_s: float) -> str:
+    fields = ' '.join(
+        f'{name}={text}'
+        for name, text in line.fields.items()
+        if name not in COMMON_FIELDS and text != ''
+    )
+    told = f'{line.at_s - began_s:+8.3f} s {line.instance} {line.text} {fields}'
+    return f'{told.rstrip()}{_meaning(line)}'
+
+
+def _meaning(line: LogLine) -> str:
+    number = line.fields.get('code')
+    if number not in set(Code):
+        return ''
+    return f' ({MEANINGS[Code(number)].text})'
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -99,6 +99,7 @@
     store: ObjectStore
     workers: list[Worker]
     ports: dict[str, list[int]] = field(default_factory=dict)
+    logs: dict[str, Path] = field(default_factory=dict)
     processes: dict[str, asyncio.subprocess.Process] = field(
         default_factory=dict,
     )
@@ -108,11 +109,25 @@
         """Return the requests that all workers ran."""
         return [run for worker in self.workers for run in worker.runs]
 
-    async def ask(self, path, *, name='front-1', key=KEY, more='', port=0):
+    @property
+    def log(self):
+        """Return the log lines of all instances, mixed as they come."""
+        return b''.join(path.read_bytes() for path in self.logs.values())
+
+    async def ask(
+        self,
+        path,
+        *,
+        name='front-1',
+        key=KEY,
+        more='',
+        port=0,
+        call='id-1',
+    ):
         """Send one request and return its answer."""
         port = port or self.ports[name][0]
         wire = (
-            f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: id-1\r\n'
+            f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {call}\r\n'
             f'Authorization: Bearer {key}\r\nX-Deadline-Ms: 5000\r\n'
             f'{more}Connection: close\r\nContent-Length: 4\r\n\r\nbody'
         )
@@ -128,6 +143,7 @@
         ports = free_ports(5)
         self.ports[name] = ports
         path = Path(tempfile.mkdtemp()) / 'boot.yaml'
+        self.logs[name] = path.with_name('log.jsonl')
         path.write_text(
             SETTINGS.format(
                 name=name, ports=ports, store=self.ports['store'][0]
@@ -138,7 +154,7 @@
             '-m',
             'siskinpass.process.fleet',
             env=os.environ | {'SISKINPASS_SETTINGS': str(path)},
-            stdout=asyncio.subprocess.DEVNULL,
+            stdout=self.logs[name].open('ab'),
         )
 
     async def is_ready(self, name='front-1'):
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,148 @@
+"""Test how a failed request is explained from the logs alone."""
+
+import asyncio
+import io
+import sys
+from types import SimpleNamespace
+
+import pytest
+
+from siskinpass.cli_explain import STATUS_UNKNOWN, explain
+from siskinpass.process.request_story import read_log, tell_story
+from tests.fleet import KEY, config, running, until
+
+ASKED_FOR = 'the-one'
+OTHERS = 40
+
+
+async def cut_by_a_crash(fleet):
+    """Break a stream off that may not be resumed."""
+    for worker in fleet.workers:
+        worker.faults.cuts = 1
+    answer = await fleet.ask('/plain-stream/x', call=ASKED_FOR)
+    assert not answer.is_whole
+
+
+async def refused_under_load(fleet):
+    """Fill every slot, so that one more request waits in vain."""
+    for worker in fleet.workers:
+        worker.faults.silent = OTHERS
+    asked = [
+        asyncio.ensure_future(fleet.ask('/once/x', call=f'other-{number}'))
+        for number in range(OTHERS)
+    ]
+    await until(lambda: len(fleet.runs) >= 18, 'all slots taken')
+    answer = await fleet.ask('/once/x', call=ASKED_FOR)
+    assert answer.status == 503
+    for task in asked:
+        task.cancel()
+
+
+async def hit_by_a_change(fleet):
+    """Take the caller's key away."""
+    changed = config(4) | {'tenants': [{'name': 'w', 'api-keys': ['new']}]}
+    await fleet.store.put('config', 'main', changed)
+
+    async def is_refused():
+        answer = await fleet.ask('/once/x', call='probe')
+        return answer.status == 401
+
+    await until(is_refused, 'the key is gone')
+    answer = await fleet.ask('/once/x', call=ASKED_FOR, key=KEY)
+    assert answer.status == 401
+
+
+async def story_of(fail):
+    """Return what is told of a request that was made to fail."""
+    async with running() as fleet:
+        await fail(fleet)
+        await asyncio.sleep(0.2)
+        return tell_story(tuple(read_log(fleet.log.splitlines())), ASKED_FOR)
+
+
+class TestStories:
+    """Test the way from an id to the cause over real instances."""
+
+    @pytest.mark.parametrize(
+        ('fail', 'told'),
+        [
+            (
+                cut_by_a_crash,
+                ['A request goes to a server', 'ending=cut', 'step=cut'],
+            ),
+            (
+                refused_under_load,
+                ['A request was refused', 'reason=wait_too_long'],
+            ),
+            (
+                hit_by_a_change,
+                [
+                    'reason=unknown_key',
+                    'A configuration is in force. version=4',
+                ],
+            ),
+        ],
+    )
+    def test_cause_is_told(self, fail, told):
+        """The story names the cause, and the instance."""
+        story = asyncio.run(asyncio.wait_for(story_of(fail), 60))
+        whole = '\n'.join(story)
+        for words in told:
+            assert words in whole
+        assert 'front-1' in story[0]
+        assert 'other-' not in whole
+
+    def test_request_that_waited_did_not_run(self):
+        """A refusal under load shows no server: nothing ran."""
+        story = asyncio.run(asyncio.wait_for(story_of(refused_under_load), 60))
+        assert not [line for line in story if 'goes to a server' in line]
+
+
+LOG = b"""
+  1.2 front-2 {"timestamp": 2.0, "instance": "f-2", "text": "An attempt failed.",
+{"timestamp": 2.5, "instance": "f-2", "message_type": "forward:note", "text": "An attempt failed.", "call": "a", "server": "e-1", "ending": "cut"}
+{"timestamp": 2.0, "instance": "f-2", "message_type": "forward:note", "text": "A request goes to a server.", "call": "a", "server": "e-1"}
+{"timestamp": 2.6, "instance": "f-3", "message_type": "forward:note", "text": "An attempt failed.", "call": "b", "server": "e-1"}
+{"timestamp": 9.6, "instance": "f-3", "message_type": "forward:note", "text": "An attempt failed.", "call": "c", "server": "e-1"}
+{"timestamp": 2.7, "instance": "f-3", "message_type": "state:note", "text": "A server has no entry any more.", "server": "e-1"}
+{"timestamp": 2.8, "instance": "f-3", "message_type": "state:note", "text": "A server has no entry any more.", "server": "e-2"}
+{"timestamp": 2.1, "instance": "f-2", "message_type": "store:warning", "text": "The store does not answer."}
+{"timestamp": 2.1, "instance": "f-3", "message_type": "store:warning", "text": "The store does not answer."}
+not json
+{"other": 5}
+"""  # noqa: E501
+
+
+class TestReading:
+    """Test what is taken from logs of many instances."""
+
+    def test_order_and_surroundings(self):
+        """Lines come in order of time, with what happened around them."""
+        story = tell_story(tuple(read_log(LOG.splitlines())), 'a')
+        assert [line.split(' s ')[0].strip() for line in story[:2]] == [
+            '+0.000',
+            '+0.500',
+        ]
+        assert story[2:] == [
+            'Around it:',
+            '  +0.100 s f-2 The store does not answer.',
+            '  +0.700 s f-3 A server has no entry any more. server=e-1',
+            'Within 2 s at e-1: 1 other failures',
+        ]
+
+    def test_unknown_id(self, monkeypatch):
+        """An id that no line names is told apart by the status."""
+        monkeypatch.setattr(
+            sys, 'stdin', SimpleNamespace(buffer=io.BytesIO(LOG))
+        )
+        with pytest.raises(SystemExit) as ended:
+            explain('nobody')
+        assert ended.value.code == STATUS_UNKNOWN
+
+    def test_known_id(self, monkeypatch, capsys):
+        """The story goes to standard output."""
+        monkeypatch.setattr(
+            sys, 'stdin', SimpleNamespace(buffer=io.BytesIO(LOG))
+        )
+        explain('a')
+        assert capsys.readouterr().out.startswith('  +0.000 s f-2 A request')
