--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -50,7 +50,9 @@
         lane; with more, their own prompts stretch their pauses.
     :param lane_least: part of the engines that the lane takes at least.
     :param lane_most: part of the engines that the lane may take.
-    :param lane_hold_s: time in which an unused lane shrinks to about a third.
+    :param lane_hold_s: time in which an unused lane shrinks to about a third:
+        longer than the sheets' bursts are apart, so that the parts of its
+        engines need not move twice.
     :param trouble_tokens: cost of a server that fails all requests, two
         seconds of reading.
     :param long_tokens: prompts above this length do not belong in the lane.
@@ -74,7 +76,7 @@
     lane_streams: int = 14
     lane_least: float = 0.25
     lane_most: float = 0.5
-    lane_hold_s: float = 5.0
+    lane_hold_s: float = 15.0
     trouble_tokens: float = 100_000.0
     long_tokens: int = 4096
     ahead_s: float = 0.25
