Serve latency histograms; drop what nothing reads

A refusal's line tells the route and how many wait.

RetryBudgets has a module of its own; two promises of the settings and three fields of answers that nothing read are gone (the test of drain_s now reads the directory's bound instead, which was not tested); the directory's time to live keeps to the operator's bound.

--- a/src/siskinpass/platform/boot.py
+++ b/src/siskinpass/platform/boot.py
@@ -72,9 +72,7 @@
     retries = default.retries
     return Promises(
         contact_s=_milliseconds(bounds, 'contact-ms', default.contact_s),
-        drain_s=_milliseconds(bounds, 'drain-ms', default.drain_s),
         grace_s=_number(bounds, 'grace-s', default.grace_s),
-        config_s=_milliseconds(bounds, 'config-apply-ms', default.config_s),
         directory_s=_number(bounds, 'ttl_max_s', default.directory_s),
         retries=RetryBounds(
             ratio=_number(bounds, 'retry-budget-ratio', retries.ratio),
--- a/src/siskinpass/platform/headers.py
+++ b/src/siskinpass/platform/headers.py
@@ -89,16 +89,12 @@
     """Return the head of an answer with its headers decoded."""
     found = {name.lower(): text for name, text in headers}
     dropped = HOP_HEADERS | _named_by_connection(found)
-    connection = _text(found, b'connection').lower()
     return AnswerHead(
         status=status,
         call_id=_text(found, CALL_ID),
         receipt=_text(found, RECEIPT),
         # 421 says the same without the header.
         not_run=NOT_RUN in found or status == STATUS_MISDIRECTED,
-        length=_length(found),
-        is_chunked='chunked' in _text(found, b'transfer-encoding').lower(),
-        is_closing='close' in connection,
         is_encoded=b'content-encoding' in found,
         idle_s=_keep_alive_s(_text(found, b'keep-alive')),
         headers=tuple(
@@ -151,11 +147,6 @@
     return ''
 
 
-def _length(found: dict[bytes, bytes]) -> int | None:
-    text = _text(found, b'content-length')
-    return int(text) if text.isdigit() else None
-
-
 def _keep_alive_s(text: str) -> float:
     for parameter in text.split(','):
         name, _, seconds = parameter.strip().partition('=')
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -17,7 +17,7 @@
 from siskinpass.process.fleet.assigner import Assigner
 from siskinpass.process.fleet.tickets import Attempt, make_ticket, urgency_of
 from siskinpass.process.logs import PartLog
-from siskinpass.process.metrics import Metrics
+from siskinpass.process.metrics import ANSWERED, Metrics
 from siskinpass.request.events import EventTap
 from siskinpass.request.inbound import (
     AnswerHead,
@@ -25,7 +25,6 @@
     WireRequest,
 )
 from siskinpass.request.resend import Ending, Sends, Step, decide, give_up
-from siskinpass.request.retry_window import RetryWindow
 from siskinpass.request.silence import silence_limits
 from siskinpass.request.ticket import ServerView, Ticket
 from siskinpass.version.routes import (
@@ -62,39 +61,6 @@
     log: PartLog = field(default_factory=lambda: PartLog('forward'))
 
 
-class RetryBudgets:
-    """Hold this instance's part of the retry budget of each service.
-
-    :param make: returns a window with the operator's bounds.
-    :param instances: returns how many instances share the budget.
-    """
-
-    def __init__(
-        self,
-        make: Callable[[], RetryWindow],
-        instances: Callable[[], int],
-    ) -> None:
-        """Start with unused budgets."""
-        self._make = make
-        self._instances = instances
-        self._windows: dict[str, RetryWindow] = {}
-
-    def note_request(self, service: str) -> None:
-        """Count one request of a service."""
-        self._window(service).note_request(_now_s())
-
-    def spend(self, service: str) -> bool:
-        """Take one send, and tell whether there was one."""
-        return self._window(service).spend(_now_s(), self._instances())
-
-    def _window(self, service: str) -> RetryWindow:
-        window = self._windows.get(service)
-        if window is None:
-            window = self._make()
-            self._windows[service] = window
-        return window
-
-
 class Forwarder:
     """Start and follow one task for each request."""
 
@@ -140,6 +106,7 @@
         self._has_begun = False
         self._avoid = ''
         self._server = ''
+        self._node = ''
         self._ticket: Ticket | None = None
 
     async def run(self) -> None:
@@ -198,6 +165,7 @@
         ends_s = self._started_s + min(patience_s, route.timeout_s)
         service = route.service_at(random.random())
         self._tools.note_request(service)
+        self._node = route.name
         if route.is_stream:
             self._tap = EventTap(self._started_s)
         plan = _Plan(route, workspace, service, ends_s, table)
@@ -315,10 +283,21 @@
             self._caller.answer(
                 ended.head.status, ended.head.headers, ended.body
             )
-        events = self._tap.count if self._tap else 0
-        self._tools.metrics.answered(plan.route.name, events)
+        self._count_answer(plan.route)
         self._log_end()
 
+    def _count_answer(self, route: Route) -> None:
+        metrics, tap = self._tools.metrics, self._tap
+        metrics.answered(route.name, tap.count if tap else 0)
+        if tap is not None:
+            metrics.streamed(
+                route.name,
+                tap.first_ms / MS_PER_S,
+                tap.pause_ms / MS_PER_S,
+            )
+        age_s = _ms_since(self._started_s) / MS_PER_S
+        metrics.ended(route.name, ANSWERED, age_s)
+
     def _finish(self, step: Step, ended: Ended) -> None:
         if self._has_begun or step is Step.cut:
             self._cut(Code.stream_cut)
@@ -363,18 +342,24 @@
         self._caller.answer(meaning.status, headers, meaning.text.encode())
 
     def _note(self, sentence: str, code: Code) -> None:
+        age_ms = _ms_since(self._started_s)
         self._tools.metrics.refused(code)
+        self._tools.metrics.ended(self._node, code.name, age_ms / MS_PER_S)
         self._tools.log.note(
             sentence,
             call=self._call.call_id,
             code=int(code),
             reason=code.name,
+            route=self._node,
             server=self._server,
-            age_ms=_ms_since(self._started_s),
+            waiting=self._tools.assigner.waiting,
+            age_ms=age_ms,
         )
 
     def _log_grant(self, ticket: Ticket, view: ServerView) -> None:
         load = self._tools.assigner.load_of(ticket, view.name)
+        waited_ms = _ms_since(ticket.opened_s)
+        self._tools.metrics.waited(ticket.node, waited_ms / MS_PER_S)
         self._tools.log.often(
             'A request goes to a server.',
             call=self._call.call_id,
@@ -385,7 +370,7 @@
             tight=load.tight,
             unread=sum(load.unread),
             tokens=ticket.tokens_in,
-            waited_ms=_ms_since(ticket.opened_s),
+            waited_ms=waited_ms,
         )
 
     def _log_end(self) -> None:
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -14,7 +14,8 @@
 from siskinpass.process.affinity import AffinityChooser
 from siskinpass.process.broker import BrokerPolicy
 from siskinpass.process.fleet.assigner import Assigner
-from siskinpass.process.fleet.forward import Forwarder, RetryBudgets, Tools
+from siskinpass.process.fleet.budgets import RetryBudgets
+from siskinpass.process.fleet.forward import Forwarder, Tools
 from siskinpass.process.fleet.kept_parts import KeptParts
 from siskinpass.process.fleet.loads import LoadExchange
 from siskinpass.process.fleet.members import FleetMembers
@@ -62,6 +63,10 @@
         self._loop = asyncio.get_running_loop()
         self._log = PartLog('node')
         self._metrics = Metrics()
+        self._directory_s = min(
+            DIRECTORY_TTL_S,
+            settings.promises.directory_s,
+        )
         self._stopping = asyncio.Event()
         self._callers: set[HttpCaller] = set()
         self._listeners: list[asyncio.Server] = []
@@ -198,7 +203,7 @@
             caller.is_leaving = True
         self._start(self._members.leave(self._state.version))
         # Callers that kept an answer of the directory still come.
-        await asyncio.sleep(KEPT_ANSWERS * DIRECTORY_TTL_S)
+        await asyncio.sleep(KEPT_ANSWERS * self._directory_s)
         for listener in self._listeners:
             listener.close()
         await asyncio.sleep(CROSSING_S)
@@ -265,7 +270,7 @@
             caller.answer(STATUS_NOT_FOUND)
             return
         told = addresses_near(self._members.serving, asked.zone)
-        body = directory.encode_answer(told, DIRECTORY_TTL_S)
+        body = directory.encode_answer(told, self._directory_s)
         caller.answer(STATUS_OK, (JSON,), body)
 
     def _note_store_call(self, call: str, outcome: str) -> None:
--- a/src/siskinpass/process/fleet/settings.py
+++ b/src/siskinpass/process/fleet/settings.py
@@ -22,16 +22,12 @@
     """Hold the bounds that the operator states, in seconds.
 
     :param contact_s: calm time after which an instance counts as in touch.
-    :param drain_s: time after which a leaving server gets nothing new.
     :param grace_s: time from the termination signal to the kill.
-    :param config_s: time in which a new version is in force.
     :param directory_s: longest time that a directory answer counts.
     """
 
     contact_s: float = 3.0
-    drain_s: float = 2.0
     grace_s: float = 8.0
-    config_s: float = 2.0
     directory_s: float = 5.0
     retries: RetryBounds = field(default_factory=RetryBounds)
 
--- a/src/siskinpass/process/metrics.py
+++ b/src/siskinpass/process/metrics.py
@@ -1,12 +1,32 @@
 """Count what the process does, for ``/metrics``."""
 
-from aioprometheus import Counter, Gauge, Registry, render
+import math
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from siskinpass.codes import Code
 
+# Seconds; the targets and longest pauses of the sheets stand among them.
+BUCKETS_S = (
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.5,
+    0.8,
+    1.2,
+    2.5,
+    5.0,
+    8.0,
+    15.0,
+    math.inf,
+)
+ANSWERED = 'answered'
+
 
 class Metrics:
-    """Hold the counters of one process.
+    """Hold the counters and histograms of one process.
 
     Counters are written from the event loop only.
     """
@@ -34,6 +54,22 @@
             'siskinpass_tokens_total',
             'Tokens passed on, by node of the tree.',
         )
+        self._waits = self._histogram(
+            'siskinpass_queue_wait_seconds',
+            'Time that a request waited for a server, by node of the tree.',
+        )
+        self._firsts = self._histogram(
+            'siskinpass_first_event_seconds',
+            'Time from arrival to the first event, by node of the tree.',
+        )
+        self._pauses = self._histogram(
+            'siskinpass_longest_pause_seconds',
+            'Longest time between events, by node of the tree.',
+        )
+        self._durations = self._histogram(
+            'siskinpass_request_seconds',
+            'Time from arrival to the end, by node of the tree and outcome.',
+        )
         self._gauges = Gauge(
             'siskinpass_state',
             'State of the process, by name.',
@@ -45,6 +81,23 @@
         self._answers.inc({'node': node})
         self._tokens.add({'node': node}, tokens)
 
+    def waited(self, node: str, wait_s: float) -> None:
+        """Count how long a request waited for its server."""
+        self._waits.observe({'node': node}, wait_s)
+
+    def streamed(self, node: str, first_s: float, pause_s: float) -> None:
+        """Count the times of the events of a whole stream."""
+        self._firsts.observe({'node': node}, first_s)
+        self._pauses.observe({'node': node}, pause_s)
+
+    def ended(self, node: str, outcome: str, duration_s: float) -> None:
+        """Count how long a request took to its end.
+
+        :param outcome: ``answered``, or the name of a code.
+        """
+        labels = {'node': node, 'outcome': outcome}
+        self._durations.observe(labels, duration_s)
+
     def refused(self, code: Code) -> None:
         """Count one request that ended in a code."""
         self._refusals.inc({'code': str(int(code)), 'reason': code.name})
@@ -67,3 +120,11 @@
 
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self._registry)
+
+    def _histogram(self, name: str, doc: str) -> Histogram:
+        return Histogram(
+            name,
+            doc,
+            registry=self._registry,
+            buckets=BUCKETS_S,
+        )
--- a/src/siskinpass/request/inbound.py
+++ b/src/siskinpass/request/inbound.py
@@ -131,9 +131,6 @@
     :param call_id: id of the request that is answered, empty where missing.
     :param receipt: the server's receipt, empty where missing.
     :param not_run: whether the server states that it did not run the request.
-    :param length: length of the body, none where it is not stated.
-    :param is_chunked: whether the body comes in chunks.
-    :param is_closing: whether the server closes the connection afterwards.
     :param is_encoded: whether the body is compressed or otherwise changed.
     :param idle_s: how long the server keeps an idle connection, 0 for unsaid.
     :param headers: headers to pass on to the caller.
@@ -143,9 +140,6 @@
     call_id: str = ''
     receipt: str = ''
     not_run: bool = False
-    length: int | None = None
-    is_chunked: bool = False
-    is_closing: bool = False
     is_encoded: bool = False
     idle_s: float = 0.0
     headers: tuple[Header, ...] = ()
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -23,7 +23,7 @@
          directory: "127.0.0.1:82"}
 internal-port-range: [7340, 7355]
 platform: {address: "127.0.0.1:90"}
-bounds: {drain-ms: 1500, grace-s: 6, retry-slack: 54}
+bounds: {ttl_max_s: 4, grace-s: 6, retry-slack: 54}
 """
 ROUTE = {
     'name': 'r',
@@ -80,7 +80,7 @@
         """Times come in seconds, what is not stated has a default."""
         settings = decode_settings(SETTINGS.encode())
         assert settings.peers == '127.0.0.1:7340'
-        assert settings.promises.drain_s == pytest.approx(1.5)
+        assert settings.promises.directory_s == pytest.approx(4)
         assert settings.promises.retries.slack == pytest.approx(54)
         assert settings.promises.retries.ratio == pytest.approx(0.2)
 
