Let only tight prompts count for the even pace; forget a server's trouble

Costs printed at that time: its even pace was taken to be blocked for another 5 s, as each long prompt that it had read before counted for 0.85 s at the pace of tight prompts.

Ruled out: failures or leaving of the idle engine, its caches, its trouble. The trouble of a server that gets nothing did not fade, though; it now does over 3 s.

Change: PromptPlaced and tickets say whether the stream is tight; only those count. 20 tight streams for each engine of the lane, with which a step takes 1.5 times as long as alone.

--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -16,6 +16,7 @@
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import partial
 
 from siskinpass.process.placement import Server, ServerTable
 from siskinpass.process.reading import READ_TOKENS_S
@@ -47,7 +48,8 @@
     :param lane_penalty: cost of sharing an engine against the lanes: ten
         seconds of reading, so that only failures bring it about.
     :param lane_streams: streams with a tight pause for each engine of their
-        lane; with more, their own prompts stretch their pauses.
+        lane; a step then takes 1.5 times as long as alone, and with more
+        their own prompts stretch their pauses.
     :param lane_least: part of the engines that the lane takes at least.
     :param lane_most: part of the engines that the lane may take.
     :param lane_hold_s: time in which an unused lane shrinks to about a third:
@@ -73,7 +75,7 @@
     home_tokens: float = 8000.0
     tight_home_factor: float = 0.6
     lane_penalty: float = 500_000.0
-    lane_streams: int = 14
+    lane_streams: int = 20
     lane_least: float = 0.25
     lane_most: float = 0.5
     lane_hold_s: float = 15.0
@@ -101,7 +103,7 @@
         if not servers:
             return None
         if not ticket.pieces:
-            best = min(servers, key=_plain_cost)
+            best = min(servers, key=partial(_plain_cost, now_s=table.now_s))
             return best if self._has_slot(best) else None
         lane = self._lane.names(table)
         cost = _PromptCost(self._policy, table, ticket, lane, servers)
@@ -205,7 +207,7 @@
         cost += self._ticket.tokens_in - cached
         cost += (self._most_cached - cached) * (policy.reread_factor - 1)
         cost += load.running * policy.running_tokens
-        cost += server.trouble * policy.trouble_tokens
+        cost += server.trouble_at(self._now_s) * policy.trouble_tokens
         cost += 0 if name == self._home else self._away_cost()
         return cost + self._lane_cost(server), name
 
@@ -237,7 +239,8 @@
         return self._policy.lane_penalty if in_lane and is_long else 0.0
 
 
-def _plain_cost(server: Server) -> tuple[float, str]:
+def _plain_cost(server: Server, now_s: float) -> tuple[float, str]:
     slots = max(1, server.view.slots)
     cost = (server.load.running + 1) / slots
-    return cost + server.trouble * PLAIN_TROUBLE, server.view.name
+    cost += server.trouble_at(now_s) * PLAIN_TROUBLE
+    return cost, server.view.name
--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -191,6 +191,7 @@
                     command.pieces,
                     command.unread,
                     asked.ticket.tier,
+                    is_tight=asked.ticket.is_tight,
                 )
             )
         asked.granted.set_result(view)
--- a/src/siskinpass/process/fleet/loads.py
+++ b/src/siskinpass/process/fleet/loads.py
@@ -123,6 +123,7 @@
                 'pieces': pieces,
                 'unread': placed.unread,
                 'tier': placed.tier,
+                'is_tight': placed.is_tight,
             })
         )
 
@@ -162,4 +163,5 @@
         pieces,
         told['unread'],
         told['tier'],
+        told['is_tight'],
     )
--- a/src/siskinpass/process/grants.py
+++ b/src/siskinpass/process/grants.py
@@ -64,7 +64,7 @@
         held = Running(ticket, name, protected=is_protected, unread=unread)
         self._running[ticket.ticket_id] = held
         server.add(held.load)
-        server.reading.add(unread, ticket.tier, now_s)
+        server.expect_reading(unread, ticket, now_s)
         self._table.remember(ticket.prefix, name)
         return unread
 
@@ -84,7 +84,8 @@
         server = self._table.find(held.server)
         if server is not None:
             server.add(-held.load)
-            server.note_outcome(in_trouble=event.failed or event.erred)
+            in_trouble = event.failed or event.erred
+            server.note_outcome(now_s, in_trouble=in_trouble)
             server.note_end(now_s, failed=event.failed)
         return held.ticket
 
@@ -113,7 +114,7 @@
         self._table.cache.note(event.server, event.pieces)
         server = self._table.find(event.server)
         if server is not None:
-            server.reading.add(event.unread, event.tier, now_s)
+            server.expect_reading(event.unread, event, now_s)
 
     @_take.register
     def _take_peers(self, event: PeerLoadsTold, now_s: float) -> None:
--- a/src/siskinpass/process/placement.py
+++ b/src/siskinpass/process/placement.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+import math
 import statistics
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
@@ -13,7 +14,12 @@
 from siskinpass.process.cache_map import CacheMap
 from siskinpass.process.limits import LimitPolicy, SlotLimit
 from siskinpass.process.reading import ReadingPlan
-from siskinpass.request.ticket import ServerLoad, ServerView, Ticket
+from siskinpass.request.ticket import (
+    PromptPlaced,
+    ServerLoad,
+    ServerView,
+    Ticket,
+)
 
 SLOW_RATIO = 2.0
 SLOW_FRACTION = 0.34
@@ -25,6 +31,9 @@
 AVOIDED_PENALTY = 4.0
 NO_LOAD = ServerLoad()
 TROUBLE_SMOOTHING = 0.1  # about the last ten outcomes
+# A server is tried again after about as long as the operator takes a calm
+# machine to be in touch.
+TROUBLE_HOLD_S = 3.0
 
 
 @dataclass(slots=True)
@@ -41,6 +50,7 @@
     peers: ServerLoad = NO_LOAD
     reading: ReadingPlan = field(default_factory=ReadingPlan)
     trouble: float = 0.0
+    outcome_s: float = 0.0
     probe_after: int = 1
 
     @property
@@ -53,9 +63,30 @@
         self.running += step.running
         self.own += step
 
-    def note_outcome(self, *, in_trouble: bool) -> None:
+    def expect_reading(
+        self,
+        unread: int,
+        prompt: Ticket | PromptPlaced,
+        now_s: float,
+    ) -> None:
+        """Count the reading of a placed prompt."""
+        self.reading.add(unread, prompt.tier, now_s)
+        if prompt.is_tight:
+            self.reading.add_paced(unread, now_s)
+
+    def note_outcome(self, now_s: float, *, in_trouble: bool) -> None:
         """Follow the part of requests that failed here."""
-        self.trouble += TROUBLE_SMOOTHING * (in_trouble - self.trouble)
+        known = self.trouble_at(now_s)
+        self.trouble = known + TROUBLE_SMOOTHING * (in_trouble - known)
+        self.outcome_s = now_s
+
+    def trouble_at(self, now_s: float) -> float:
+        """Return the part of requests that failed, less as time passes.
+
+        A server that gets nothing would otherwise stay in trouble.
+        """
+        passed_s = max(0.0, now_s - self.outcome_s)
+        return self.trouble * math.exp(-passed_s / TROUBLE_HOLD_S)
 
     def note_end(self, now_s: float, *, failed: bool) -> None:
         """Shun a server that failed, longer with each failure in a row."""
--- a/src/siskinpass/process/reading.py
+++ b/src/siskinpass/process/reading.py
@@ -27,6 +27,13 @@
             if other >= tier:
                 began_s = max(now_s, until_s)
                 self._until_s[other] = began_s + tokens / READ_TOKENS_S
+
+    def add_paced(self, tokens: int, now_s: float) -> None:
+        """Count a prompt that has to follow the one before at an even pace.
+
+        Long prompts do not count: at this pace one of them takes seconds, and
+        an engine that has read it is ready for streams with a tight pause.
+        """
         began_s = max(now_s, self._paced_until_s)
         self._paced_until_s = began_s + tokens / PACED_TOKENS_S
 
--- a/src/siskinpass/request/ticket.py
+++ b/src/siskinpass/request/ticket.py
@@ -204,12 +204,14 @@
 
     :param unread: tokens of it that the server had yet to read.
     :param tier: tier of its request.
+    :param is_tight: whether its stream has a tight pause.
     """
 
     server: str
     pieces: tuple[PromptPiece, ...]
     unread: int = 0
     tier: int = 0
+    is_tight: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -1,5 +1,7 @@
 """Play loads against the placement of prompts and look at who goes where."""
 
+from collections import Counter
+
 import pytest
 
 from siskinpass.process.affinity import AffinityChooser, AffinityPolicy
@@ -151,6 +153,19 @@
             made.apply(GrantReleased(ticket.ticket_id, erred=erred), number)
         assert placed.count('s-0') < 10
 
+    def test_server_that_failed_is_tried_again(self):
+        """A server that got nothing for a while is one of the others."""
+        made = broker()
+        for number in range(10):
+            made.apply(TicketOpened(prompt(number, number)), 0.0)
+        for number in range(10):
+            ended = GrantReleased(f't-{number}', erred=number % 2 == 0)
+            made.apply(ended, 0.1)
+        troubled = [one for one in made.table.servers if one.trouble > 0]
+        assert troubled
+        for server in troubled:
+            assert server.trouble_at(20.0) < 0.01 * server.trouble
+
     def test_restarted_server_has_nothing_cached(self):
         """A new incarnation of a server knows no parts."""
         made = broker()
@@ -212,6 +227,26 @@
         placed = grants(made.apply(TicketOpened(upper), 0.01))
         assert list(placed) == ['t-99']
 
+    def test_lane_grows_to_engines_that_read_long_prompts(self):
+        """An engine that has read long prompts takes its share of a burst."""
+        made = broker()
+        for number in range(40):
+            made.apply(TicketOpened(prompt(number, number)), number * 0.1)
+            made.apply(GrantReleased(f't-{number}'), number * 0.1 + 0.05)
+        placed = Counter()
+        unread = {}
+        for number in range(100, 200):
+            now_s = 4.5 + (number - 100) * 0.03
+            ticket = tight(number, opened_s=now_s)
+            granted = grants(made.apply(TicketOpened(ticket), now_s))
+            placed.update(granted.values())
+            unread |= dict.fromkeys(granted, now_s)
+            for read in [one for one in unread if unread[one] < now_s - 0.2]:
+                made.apply(PromptRead(read), now_s)
+                unread.pop(read)
+        assert len(placed) == 2
+        assert min(placed.values()) > 0.4 * placed.total()
+
     def test_short_prompts_leave_a_busy_home(self):
         """A burst over one shared part is spread over the lane."""
         made = broker((*SERVERS, *MORE))
