Ask at most twelve engines at a start; count requests, not their lines

On a large fleet each instance would ask each engine for its list, which holds up the engine's work. `siskinpass explain` counted a request that failed at a server once for each of its lines.

--- a/src/siskinpass/process/fleet/kept_parts.py
+++ b/src/siskinpass/process/fleet/kept_parts.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 
 from siskinpass.codes import Code
@@ -19,6 +20,9 @@
 # An engine answers between two steps, which take up to 0.2 s while it is slow;
 # later than this, requests have taught more than the answer tells.
 ANSWER_S = 1.0
+# A list holds up the engine's work. Each instance of a large fleet asks only
+# some engines, so that none gets more calls than on the users' smaller sites.
+ENGINES_MOST = 12
 
 
 class _WholeBody(AnswerSink):
@@ -58,7 +62,9 @@
 
 
 class KeptParts:
-    """Ask each engine once what it keeps.
+    """Ask each engine once what it keeps, or some of them where they are many.
+
+    A part that an engine keeps in part counts as whole.
 
     :param backends: connections to the engines.
     :param tell: takes the parts of one engine.
@@ -79,7 +85,9 @@
 
     async def learn(self, engines: Iterable[ServerView]) -> None:
         """Ask all engines at once."""
-        await asyncio.gather(*(self._learn_one(one) for one in engines))
+        known = tuple(engines)
+        asked = random.sample(known, min(len(known), ENGINES_MOST))
+        await asyncio.gather(*(self._learn_one(one) for one in asked))
 
     async def _learn_one(self, engine: ServerView) -> None:
         try:
--- a/src/siskinpass/process/request_story.py
+++ b/src/siskinpass/process/request_story.py
@@ -1,6 +1,6 @@
 """Follow one request through the logs of all instances. Pure logic."""
 
-from collections import Counter
+from collections import defaultdict
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import Any
@@ -123,16 +123,16 @@
 def _tell_others(log: Sequence[LogLine], own: Sequence[LogLine]) -> list[str]:
     """Count the other requests that failed at the same servers."""
     failures = {line.server: line.at_s for line in own if line.is_failure}
-    others: Counter[str] = Counter()
+    others: defaultdict[str, set[str]] = defaultdict(set)
     for line in log:
         failed_s = failures.get(line.server)
         if failed_s is None or not line.server or not line.is_failure:
             continue
         if line.call != own[0].call and abs(line.at_s - failed_s) <= AROUND_S:
-            others[line.server] += 1
+            others[line.server].add(line.call)
     return [
-        f'Within {AROUND_S:.0f} s at {server}: {count} other failures'
-        for server, count in others.items()
+        f'Within {AROUND_S:.0f} s at {server}: {len(calls)} others failed'
+        for server, calls in others.items()
     ]
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -103,6 +103,7 @@
 {"timestamp": 2.5, "instance": "f-2", "message_type": "forward:note", "text": "An attempt failed.", "call": "a", "server": "e-1", "ending": "cut"}
 {"timestamp": 2.0, "instance": "f-2", "message_type": "forward:note", "text": "A request goes to a server.", "call": "a", "server": "e-1"}
 {"timestamp": 2.6, "instance": "f-3", "message_type": "forward:note", "text": "An attempt failed.", "call": "b", "server": "e-1"}
+{"timestamp": 2.6, "instance": "f-3", "message_type": "forward:note", "text": "A stream was cut.", "call": "b", "server": "e-1"}
 {"timestamp": 9.6, "instance": "f-3", "message_type": "forward:note", "text": "An attempt failed.", "call": "c", "server": "e-1"}
 {"timestamp": 2.7, "instance": "f-3", "message_type": "state:note", "text": "A server has no entry any more.", "server": "e-1"}
 {"timestamp": 2.8, "instance": "f-3", "message_type": "state:note", "text": "A server has no entry any more.", "server": "e-2"}
@@ -127,7 +128,7 @@
             'Around it:',
             '  +0.100 s f-2 The store does not answer.',
             '  +0.700 s f-3 A server has no entry any more. server=e-1',
-            'Within 2 s at e-1: 1 other failures',
+            'Within 2 s at e-1: 1 others failed',
         ]
 
     def test_unknown_id(self, monkeypatch):
--- a/tests/test_kept_parts.py
+++ b/tests/test_kept_parts.py
@@ -8,7 +8,7 @@
 from siskinpass.connection.backend import BackendPool
 from siskinpass.exceptions import FormatError
 from siskinpass.platform.engines import decode_kept_parts
-from siskinpass.process.fleet.kept_parts import KeptParts
+from siskinpass.process.fleet.kept_parts import ENGINES_MOST, KeptParts
 from siskinpass.process.fleet.tickets import pieces_of
 from siskinpass.request.inbound import Prompt, PromptPart
 from siskinpass.request.ticket import ServerView
@@ -85,6 +85,11 @@
 class TestKeptParts:
     """Test the calls."""
 
+    def test_large_fleets_ask_some_engines(self):
+        """The calls of one instance are bounded."""
+        told = asyncio.run(learn(*[kept] * (ENGINES_MOST + 5)))
+        assert len(told) == ENGINES_MOST
+
     @pytest.mark.parametrize('broken', [refused, hung_up, silent, spoiled])
     def test_one_engine_holds_up_no_other(self, broken):
         """What one engine keeps is learnt whatever another one does."""
