Measure what a decision costs; keep loads and ranks instead of redoing them

Cause: each comparison added up a server's load anew and hashed every name for the home and for the lane (profile of 3,000 placements).

Change: a server keeps the sum of its loads, the lane's order is kept while the same servers are open, weights are cached. `make decision` places 3,000 prompts.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SOURCES := src standins bench tests
 export UV_USE_IO_URING = 0
 
-.PHONY: test lint format demo bench chaos overhead capacity proto
+.PHONY: test lint format demo bench chaos decision overhead capacity proto
 
 $(READY): pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
@@ -40,6 +40,9 @@
 chaos: $(READY)
 	$(BIN)/python -m bench chaos --seed $(SEED) --minutes $(MINUTES) --broken '$(BREAK)'
 
+decision: $(READY)
+	$(BIN)/python -m bench decision
+
 overhead: $(READY)
 	$(BIN)/python -m bench overhead
 
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,15 @@
 
 from cyclopts import App
 
-from bench import capacity, capacity_page, chaos, experiment, overhead, report
+from bench import (
+    capacity,
+    capacity_page,
+    chaos,
+    decision,
+    experiment,
+    overhead,
+    report,
+)
 from bench.demo import demo
 
 app = App(name='bench', help='Drive real processes and measure them.')
@@ -38,6 +46,12 @@
     overhead.show(overhead.measure())
 
 
+@app.command(name='decision')
+def decision_command() -> None:
+    """Measure what one decision about a prompt costs."""
+    decision.show()
+
+
 @app.command(name='chaos')
 def chaos_command(
     *,
--- /dev/null
+++ b/bench/decision.py
@@ -0,0 +1,103 @@
+"""Measure what one decision about a prompt costs, without a network."""
+
+import statistics
+import sys
+import time
+from dataclasses import dataclass
+
+from siskinpass.process.affinity import AffinityChooser
+from siskinpass.process.broker import Broker, BrokerPolicy
+from siskinpass.process.limits import LimitPolicy
+from siskinpass.request.ticket import (
+    GrantReleased,
+    PromptPiece,
+    ServersListed,
+    ServerView,
+    Ticket,
+    TicketOpened,
+)
+
+SIZES = (12, 150)
+REQUESTS = 3000
+SHARED_PARTS = 200
+SHARED_TOKENS = 13_300
+OWN_TOKENS = 3700
+MEMORY_TOKENS = 600_000
+PERIOD_S = 0.1  # between two requests, so that none waits
+UNBOUNDED = 10_000
+US_PER_S = 1_000_000
+TIERS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class DecisionCost:
+    """Hold what one decision took.
+
+    :param servers: how many could be chosen.
+    """
+
+    servers: int
+    median_us: float
+    worst_us: float
+
+
+def measure(servers: int) -> DecisionCost:
+    """Place prompts one after the other and time each decision."""
+    broker = _broker(servers)
+    taken = []
+    for number in range(REQUESTS):
+        now_s = number * PERIOD_S
+        opened = TicketOpened(_ticket(number, now_s))
+        began_s = time.perf_counter()
+        broker.apply(opened, now_s)
+        taken.append((time.perf_counter() - began_s) * US_PER_S)
+        broker.apply(GrantReleased(opened.ticket.ticket_id), now_s)
+    return DecisionCost(servers, statistics.median(taken), max(taken))
+
+
+def show() -> None:
+    """Print the cost for each size of a group."""
+    for servers in SIZES:
+        cost = measure(servers)
+        sys.stdout.write(
+            f'{cost.servers} servers: median {cost.median_us:.0f} us, '
+            f'longest {cost.worst_us:.0f} us\n',
+        )
+
+
+def _broker(servers: int) -> Broker:
+    broker = Broker(
+        BrokerPolicy(
+            LimitPolicy(UNBOUNDED, UNBOUNDED, UNBOUNDED),
+            pauses=False,
+            moves=False,
+            chooser=AffinityChooser(),
+            memory_tokens=MEMORY_TOKENS,
+        ),
+    )
+    views = (
+        ServerView(f'e-{number}', '1.1.1.1:1', 'lm', slots=64)
+        for number in range(servers)
+    )
+    broker.apply(ServersListed(tuple(views)), 0.0)
+    return broker
+
+
+def _ticket(number: int, now_s: float) -> Ticket:
+    return Ticket(
+        f't-{number}',
+        '',
+        'lm',
+        'r',
+        tier=number % TIERS,
+        opened_s=now_s,
+        target_s=1.0,
+        patience_s=5.0,
+        pausable=False,
+        pieces=(
+            PromptPiece(number % SHARED_PARTS, SHARED_TOKENS),
+            PromptPiece(UNBOUNDED + number, OWN_TOKENS),
+        ),
+        tokens_in=SHARED_TOKENS + OWN_TOKENS,
+        is_tight=number % TIERS == 0,
+    )
--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -14,7 +14,7 @@
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from functools import partial
 
@@ -149,6 +149,8 @@
         self._policy = policy
         self._streams = 0.0
         self._seen_s = 0.0
+        self._open: frozenset[str] = frozenset()
+        self._ranked: tuple[str, ...] = ()
 
     def names(self, table: ServerTable) -> frozenset[str]:
         """Return the servers of the lane, none where there are too few."""
@@ -165,9 +167,17 @@
             math.ceil(self._streams / self._policy.lane_streams),
         )
         most = int(len(servers) * self._policy.lane_most)
-        ordered = rank('', [server.view.name for server in servers])
+        ordered = self._rank(server.view.name for server in servers)
         return frozenset(ordered[: max(1, min(wanted, most))])
 
+    def _rank(self, names: Iterable[str]) -> tuple[str, ...]:
+        """Return the order in which servers join the lane."""
+        given = frozenset(names)
+        if given != self._open:
+            self._open = given
+            self._ranked = tuple(rank('', given))
+        return self._ranked
+
 
 class _PromptCost:
     """Work out the cost of each server for one ticket."""
--- a/src/siskinpass/process/placement.py
+++ b/src/siskinpass/process/placement.py
@@ -38,7 +38,10 @@
 
 @dataclass(slots=True)
 class Server:
-    """Hold what the broker knows of one backend server."""
+    """Hold what the broker knows of one backend server.
+
+    :param load: what all instances run on it, ``own`` and ``peers``.
+    """
 
     view: ServerView
     limit: SlotLimit
@@ -48,20 +51,22 @@
     shunned_until_s: float = 0.0
     own: ServerLoad = NO_LOAD
     peers: ServerLoad = NO_LOAD
+    load: ServerLoad = NO_LOAD
     reading: ReadingPlan = field(default_factory=ReadingPlan)
     trouble: float = 0.0
     outcome_s: float = 0.0
     probe_after: int = 1
 
-    @property
-    def load(self) -> ServerLoad:
-        """Return what all instances run on it."""
-        return self.own + self.peers
-
     def add(self, step: ServerLoad) -> None:
         """Count a step of this instance's load, negative for what ended."""
         self.running += step.running
         self.own += step
+        self.load = self.own + self.peers
+
+    def take_peers(self, peers: ServerLoad) -> None:
+        """Take what the other instances run on it."""
+        self.peers = peers
+        self.load = self.own + peers
 
     def expect_reading(
         self,
@@ -220,7 +225,7 @@
     def take_peer_loads(self, loads: Mapping[str, ServerLoad]) -> None:
         """Take what the other instances run on each server."""
         for name, server in self._servers.items():
-            server.peers = loads.get(name, NO_LOAD)
+            server.take_peers(loads.get(name, NO_LOAD))
 
     def mark_slow(self, now_s: float) -> None:
         """Set aside the servers that are much slower than the median."""
--- a/src/siskinpass/process/rendezvous.py
+++ b/src/siskinpass/process/rendezvous.py
@@ -6,6 +6,11 @@
 
 import hashlib
 from collections.abc import Iterable
+from functools import lru_cache
+
+# Pairs of a key and a name: each decision about a prompt compares all servers
+# for one of a few hundred keys.
+WEIGHTS_KEPT = 16_384
 
 
 def rank(key: str, names: Iterable[str]) -> list[str]:
@@ -21,5 +26,6 @@
     return max(names, key=lambda name: _weight(key, name))
 
 
+@lru_cache(maxsize=WEIGHTS_KEPT)
 def _weight(key: str, name: str) -> bytes:
     return hashlib.blake2b(f'{key}/{name}'.encode(), digest_size=8).digest()
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -1,6 +1,8 @@
 """Test which route and workspace a request belongs to."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from siskinpass.version.routes import (
     Repeat,
@@ -94,3 +96,29 @@
         """Keys are asked for only where some are stated."""
         assert not RouteTable(1, (), {}).needs_keys
         assert TABLE.needs_keys
+
+    @given(
+        st.lists(st.none() | st.integers(0, 3), min_size=1, max_size=4),
+        st.lists(st.integers(0, 4), min_size=1, max_size=4),
+    )
+    def test_order_is_by_workspace_then_class(self, ranked, classes):
+        """Whatever is ranked, the order is that of the pairs."""
+        workspaces = [
+            Workspace(str(number), frozenset(), tier)
+            for number, tier in enumerate(ranked)
+        ]
+        routes = [
+            route(f'/{number}/', tier=tier)
+            for number, tier in enumerate(classes)
+        ]
+        table = RouteTable(1, tuple(routes), {}, workspaces=tuple(workspaces))
+        least = max((tier for tier in ranked if tier is not None), default=0)
+        pairs = {
+            (least if one.tier is None else one.tier, other.tier): (
+                table.tier_of(other, one)
+            )
+            for one in workspaces
+            for other in routes
+        }
+        tiers = [pairs[pair] for pair in sorted(pairs)]
+        assert tiers == sorted(set(tiers))
