Bound what an engine has unread for tight streams again

So a lane engine that reads nothing got prompt after prompt of these streams, once each had waited for its turn.

Ruled out: that the pace bounds it; it ends after tight_wait_s.

--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -128,17 +128,15 @@
         What waits here instead of at the engine keeps its order by target.
         """
         policy = self._policy
-        unread = server.load.unread_to(ticket.tier)
+        if server.load.unread_to(ticket.tier) > policy.unread_most:
+            return False
         if ticket.is_tight:
             # One prompt after the other stretches the streams' pauses least.
             return (
                 server.reading.paced_s(now_s) == 0
                 or now_s - ticket.opened_s > policy.tight_wait_s
             )
-        return (
-            unread <= policy.unread_most
-            and server.reading.ahead_s(ticket.tier, now_s) <= policy.ahead_s
-        )
+        return server.reading.ahead_s(ticket.tier, now_s) <= policy.ahead_s
 
 
 class _LaneSize:
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -283,6 +283,17 @@
             ahead_s = server.reading.ahead_s(1, 0.0)
             assert ahead_s <= policy.ahead_s + 17_000 / READ_TOKENS_S
 
+    def test_tight_streams_leave_engines_that_do_not_read(self):
+        """What an engine has unread of their tier is bounded as well."""
+        made = broker(SERVERS[:2])
+        policy = AffinityPolicy()
+        stuck = ServerLoad(40, 40, (policy.unread_most + 1,))
+        loads = {view.name: stuck for view in SERVERS[:2]}
+        made.apply(PeerLoadsTold(loads), 0.0)
+        ticket = tight(1, opened_s=0.0)
+        assert not grants(made.apply(TicketOpened(ticket), 0.0))
+        assert not grants(made.apply(ClockTicked(), 1.0))
+
     def test_backlog_at_an_engine_is_bounded(self):
         """What waits here keeps its order; an engine gets little ahead."""
         made = broker()
