Fetch whole answers in one place

The store client and the reader of kept parts each collected an answer, waited for it and closed a connection without one. Both now call `fetch` of connection/whole_answer.py; the store client maps its errors at one place.

--- a/src/siskinpass/process/fleet/kept_parts.py
+++ b/src/siskinpass/process/fleet/kept_parts.py
@@ -9,12 +9,13 @@
 from collections.abc import Callable, Iterable
 
 from siskinpass.codes import Code
-from siskinpass.connection.backend import AnswerSink, BackendPool
+from siskinpass.connection.backend import BackendPool
+from siskinpass.connection.whole_answer import fetch
 from siskinpass.exceptions import BackendError, SiskinpassError
 from siskinpass.platform.engines import KEPT_PARTS_CALL, decode_kept_parts
 from siskinpass.process.fleet.tickets import pieces_of
 from siskinpass.process.logs import PartLog
-from siskinpass.request.inbound import STATUS_OK, Header, Prompt
+from siskinpass.request.inbound import STATUS_OK, Prompt
 from siskinpass.request.ticket import PromptPlaced, ServerView
 
 # An engine answers between two steps, which take up to 0.2 s while it is slow;
@@ -25,42 +26,6 @@
 ENGINES_MOST = 12
 
 
-class _WholeBody(AnswerSink):
-    """Collect the body of one answer."""
-
-    def __init__(self) -> None:
-        """Wait for the answer."""
-        self._status = 0
-        self._body = bytearray()
-        loop = asyncio.get_running_loop()
-        self.finished: asyncio.Future[bytes] = loop.create_future()
-
-    def take_head(self, status: int, headers: tuple[Header, ...]) -> bool:
-        """Keep the status."""
-        self._status = status
-        return True
-
-    def take_piece(self, piece: bytes) -> None:
-        """Collect a piece."""
-        self._body += piece
-
-    def take_end(self) -> None:
-        """Hand the body out."""
-        if self.finished.done():
-            return
-        if self._status == STATUS_OK:
-            self.finished.set_result(bytes(self._body))
-        else:
-            self.take_failure(
-                BackendError(Code.backend_error, f'status {self._status}'),
-            )
-
-    def take_failure(self, error: BackendError) -> None:
-        """Hand the failure out."""
-        if not self.finished.done():
-            self.finished.set_exception(error)
-
-
 class KeptParts:
     """Ask each engine once what it keeps, or some of them where they are many.
 
@@ -91,14 +56,12 @@
 
     async def _learn_one(self, engine: ServerView) -> None:
         try:
-            async with asyncio.timeout(self._answer_s):
-                body = await self._ask(engine.address)
-            parts = decode_kept_parts(body)
-        except (SiskinpassError, TimeoutError) as error:
+            parts = decode_kept_parts(await self._ask(engine.address))
+        except SiskinpassError as error:
             self._log.warn(
                 'An engine does not tell what it keeps.',
                 server=engine.name,
-                cause=str(error) or 'no answer in time',
+                cause=str(error),
             )
             return
         self._tell(PromptPlaced(engine.name, pieces_of(Prompt(parts))))
@@ -109,11 +72,12 @@
         )
 
     async def _ask(self, address: str) -> bytes:
-        connection = await self._backends.connect(address, fresh=False)
-        sink = _WholeBody()
-        connection.send(KEPT_PARTS_CALL, sink)
-        try:
-            return await sink.finished
-        except asyncio.CancelledError:
-            connection.cancel()
-            raise
+        answer = await fetch(
+            self._backends,
+            address,
+            KEPT_PARTS_CALL,
+            self._answer_s,
+        )
+        if answer.status != STATUS_OK:
+            raise BackendError(Code.backend_error, f'status {answer.status}')
+        return answer.body
--- a/src/siskinpass/process/fleet/store_client.py
+++ b/src/siskinpass/process/fleet/store_client.py
@@ -6,16 +6,11 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 from siskinpass.codes import Code
-from siskinpass.connection.backend import (
-    AnswerSink,
-    BackendConnection,
-    BackendPool,
-    PoolPolicy,
-)
+from siskinpass.connection.backend import BackendPool, PoolPolicy
+from siskinpass.connection.whole_answer import WholeAnswer, fetch
 from siskinpass.exceptions import (
     BackendError,
     ConnectError,
@@ -24,7 +19,6 @@
     StoreUnconfirmedError,
 )
 from siskinpass.platform import objects
-from siskinpass.request.inbound import Header
 
 # Twenty times the answer time that the platform states.
 CALL_TIMEOUT_S = 1.0
@@ -36,44 +30,6 @@
 STORE_POOL = PoolPolicy(CONNECT_TIMEOUT_S, IDLE_KEPT_S, IDLE_KEPT_MOST)
 
 
-@dataclass(slots=True)
-class _Reply:
-    """Hold a whole answer of the store."""
-
-    status: int = 0
-    body: bytes = b''
-
-
-class _Collector(AnswerSink):
-    """Collect one answer."""
-
-    def __init__(self) -> None:
-        """Start empty."""
-        self._reply = _Reply()
-        self._pieces = bytearray()
-        self.finished = asyncio.get_running_loop().create_future()
-
-    def take_head(self, status: int, headers: tuple[Header, ...]) -> bool:
-        """Take in the status."""
-        self._reply.status = status
-        return True
-
-    def take_piece(self, piece: bytes) -> None:
-        """Take in a piece of the body."""
-        self._pieces += piece
-
-    def take_end(self) -> None:
-        """Hand the answer out."""
-        self._reply.body = bytes(self._pieces)
-        if not self.finished.done():
-            self.finished.set_result(self._reply)
-
-    def take_failure(self, error: BackendError) -> None:
-        """Hand the failure out."""
-        if not self.finished.done():
-            self.finished.set_exception(error)
-
-
 class StoreClient:
     """List, watch and write objects.
 
@@ -91,20 +47,17 @@
         self._note_call = note_call
         self._pool = BackendPool(asyncio.get_running_loop(), STORE_POOL)
 
-    async def list_kind(
-        self, kind: str, *, stale: bool = False
-    ) -> objects.Page:
+    async def list_kind(self, kind: str) -> objects.Page:
         """Return all objects of a kind and the revision to watch from.
 
-        :param stale: whether an answer that is seconds old will do.
         :raises StoreError: where the store does not answer.
         """
         found: list[objects.StoredObject] = []
         after = ''
         while True:
-            path = objects.list_path(kind, after, stale=stale)
-            reply = await self._read('list', path, CALL_TIMEOUT_S)
-            page = objects.decode_list(reply.body)
+            path = objects.list_path(kind, after)
+            answer = await self._read('list', path, CALL_TIMEOUT_S)
+            page = objects.decode_list(answer.body)
             found.extend(page.stored)
             after = page.next_name
             if not after:
@@ -122,10 +75,10 @@
         :raises StoreError: where the store does not answer.
         """
         path = objects.watch_path(kind, revision, int(wait_s * 1000))
-        reply = await self._read('watch', path, wait_s + WATCH_MARGIN_S)
-        if reply.status == objects.STATUS_GONE:
+        answer = await self._read('watch', path, wait_s + WATCH_MARGIN_S)
+        if answer.status == objects.STATUS_GONE:
             return None
-        return objects.decode_watch(reply.body)
+        return objects.decode_watch(answer.body)
 
     async def create(self, kind: str, name: str, body: Any) -> None:
         """Create an object.
@@ -133,14 +86,14 @@
         :raises StoreConflictError: where it exists.
         :raises StoreUnconfirmedError: where the write may have happened.
         """
-        reply = await self._write(
+        answer = await self._write(
             'POST',
             objects.kind_path(kind),
             objects.encode_object(name, body),
         )
-        if reply.status == objects.STATUS_CONFLICT:
+        if answer.status == objects.STATUS_CONFLICT:
             raise StoreConflictError(Code.tree_conflict, name)
-        _check(reply, objects.STATUS_OK, objects.STATUS_CREATED)
+        _check(answer, objects.STATUS_OK, objects.STATUS_CREATED)
 
     async def replace(self, kind: str, name: str, body: Any) -> None:
         """Replace an object, whatever its revision.
@@ -148,23 +101,25 @@
         :raises StoreUnconfirmedError: where the write may have happened.
         """
         path = objects.object_path(kind, name)
-        reply = await self._write(
+        answer = await self._write(
             'PUT', path, objects.encode_object(name, body)
         )
-        _check(reply, objects.STATUS_OK, objects.STATUS_CREATED)
+        _check(answer, objects.STATUS_OK, objects.STATUS_CREATED)
 
     async def delete(self, kind: str, name: str) -> None:
         """Remove an object; one that is missing is no error."""
         path = objects.object_path(kind, name)
-        reply = await self._write('DELETE', path, b'')
-        _check(reply, objects.STATUS_OK, objects.STATUS_NOT_FOUND)
+        answer = await self._write('DELETE', path, b'')
+        _check(answer, objects.STATUS_OK, objects.STATUS_NOT_FOUND)
 
-    async def _read(self, call: str, path: str, timeout_s: float) -> _Reply:
-        reply = await self._noted(call, 'GET', path, b'', timeout_s)
-        _check(reply, objects.STATUS_OK, objects.STATUS_GONE)
-        return reply
+    async def _read(
+        self, call: str, path: str, timeout_s: float
+    ) -> WholeAnswer:
+        answer = await self._noted(call, 'GET', path, b'', timeout_s)
+        _check(answer, objects.STATUS_OK, objects.STATUS_GONE)
+        return answer
 
-    async def _write(self, method: str, path: str, body: bytes) -> _Reply:
+    async def _write(self, method: str, path: str, body: bytes) -> WholeAnswer:
         call = method.lower()
         return await self._noted(call, method, path, body, CALL_TIMEOUT_S)
 
@@ -175,46 +130,18 @@
         path: str,
         body: bytes,
         timeout_s: float,
-    ) -> _Reply:
-        try:
-            reply = await self._call(method, path, body, timeout_s)
-        except StoreError as error:
-            self._note_call(call, error.code.name)
-            raise
-        self._note_call(call, str(reply.status))
-        return reply
-
-    async def _call(
-        self,
-        method: str,
-        path: str,
-        body: bytes,
-        timeout_s: float,
-    ) -> _Reply:
-        try:
-            connection = await self._pool.connect(self._address, fresh=False)
-        except ConnectError as error:
-            raise StoreError(Code.store_down, str(error)) from error
-        collector = _Collector()
-        connection.send(self._encode(method, path, body), collector)
-        return await self._finish(method, connection, collector, timeout_s)
-
-    async def _finish(
-        self,
-        method: str,
-        connection: BackendConnection,
-        collector: _Collector,
-        timeout_s: float,
-    ) -> _Reply:
-        failure = StoreError if method == 'GET' else StoreUnconfirmedError
+    ) -> WholeAnswer:
+        request = self._encode(method, path, body)
         try:
-            return await asyncio.wait_for(collector.finished, timeout_s)
-        except (BackendError, TimeoutError) as error:
-            connection.cancel()
-            raise failure(Code.store_down, str(error) or 'silent') from error
-        except asyncio.CancelledError:
-            connection.cancel()
-            raise
+            answer = await fetch(self._pool, self._address, request, timeout_s)
+        except BackendError as error:
+            self._note_call(call, Code.store_down.name)
+            sent = not isinstance(error, ConnectError)
+            unsure = sent and method != 'GET'
+            failure = StoreUnconfirmedError if unsure else StoreError
+            raise failure(Code.store_down, str(error)) from error
+        self._note_call(call, str(answer.status))
+        return answer
 
     def _encode(self, method: str, path: str, body: bytes) -> bytes:
         lines = [f'{method} {path} HTTP/1.1', f'Host: {self._address}']
@@ -224,6 +151,6 @@
         return '\r\n'.join((*lines, '', '')).encode() + body
 
 
-def _check(reply: _Reply, *allowed: int) -> None:
-    if reply.status not in allowed:
-        raise StoreError(Code.store_down, f'status {reply.status}')
+def _check(answer: WholeAnswer, *allowed: int) -> None:
+    if answer.status not in allowed:
+        raise StoreError(Code.store_down, f'status {answer.status}')
