Check for tables and read JSON at one place in the adapter

Five places of the adapter told a table from other values and two read a JSON body, each with its own message. `as_table` and `read_json_table` serve them. One function drops headers for both directions, one builds the path of a kind. Gone: an option for stale listings, a constant and two fields of a send that nothing set. The engines' calls stand among the names that a test keeps inside the adapter.

--- a/src/siskinpass/platform/boot.py
+++ b/src/siskinpass/platform/boot.py
@@ -11,6 +11,7 @@
 from siskinpass.platform.fields import (
     MS_PER_S,
     NUMBER,
+    as_table,
     read_field,
     read_seconds,
 )
@@ -46,9 +47,8 @@
     return getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
 
-def _settings(table: Any) -> FleetSettings:
-    if not isinstance(table, dict):
-        raise FormatError(Code.document_wrong, 'settings: not a table')
+def _settings(document: Any) -> FleetSettings:
+    table = as_table(document, 'settings')
     listen = read_field(table, 'listen', dict)
     ports = read_field(table, 'internal-port-range', list)
     store = read_field(table, 'platform', dict)
--- a/src/siskinpass/platform/config.py
+++ b/src/siskinpass/platform/config.py
@@ -8,6 +8,7 @@
 from siskinpass.exceptions import FormatError
 from siskinpass.platform.fields import (
     NUMBER,
+    as_table,
     read_field,
     read_seconds,
     read_tables,
@@ -42,16 +43,15 @@
     :raises FormatError: where a field is missing or wrong; a table is never
         applied in part.
     """
-    if not isinstance(spec, dict):
-        raise FormatError(Code.document_wrong, f'configuration: {spec!r:.60}')
-    services = [decode_service(row) for row in read_tables(spec, 'services')]
+    table = as_table(spec, 'configuration')
+    services = [decode_service(row) for row in read_tables(table, 'services')]
     return RouteTable(
-        version=read_field(spec, 'version', int),
-        routes=tuple(decode_route(row) for row in read_tables(spec, 'routes')),
+        version=read_field(table, 'version', int),
+        routes=tuple(decode_route(row) for row in read_tables(table, 'routes')),
         services={service.name: service for service in services},
-        limits=_limits(read_field(spec, 'limits', dict, {})),
+        limits=_limits(read_field(table, 'limits', dict, {})),
         workspaces=tuple(
-            decode_workspace(row) for row in read_tables(spec, 'tenants')
+            decode_workspace(row) for row in read_tables(table, 'tenants')
         ),
     )
 
--- a/src/siskinpass/platform/engines.py
+++ b/src/siskinpass/platform/engines.py
@@ -1,10 +1,8 @@
 """Ask a model engine which prompt parts it keeps."""
 
-import orjson
-
 from siskinpass.codes import Code
 from siskinpass.exceptions import FormatError
-from siskinpass.platform.fields import read_field
+from siskinpass.platform.fields import read_field, read_json_table
 from siskinpass.request.inbound import PromptPart
 
 KEPT_PARTS_CALL = b'GET /-/kv-list HTTP/1.1\r\nHost: engine\r\n\r\n'
@@ -19,7 +17,7 @@
     :raises FormatError: where the answer cannot be read.
     """
     try:
-        rows = read_field(dict(orjson.loads(body)), 'held', list)
+        rows = read_field(read_json_table(body, 'kept parts'), 'held', list)
         return tuple(
             PromptPart(str(row[PART_ID]), int(row[PART_TOKENS])) for row in rows
         )
--- a/src/siskinpass/platform/fields.py
+++ b/src/siskinpass/platform/fields.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
+import orjson
+
 from siskinpass.codes import Code
 from siskinpass.exceptions import FormatError
 
@@ -12,6 +14,29 @@
 NUMBER = (int, float)
 
 
+def as_table(found: Any, name: str) -> dict[str, Any]:
+    """Return a decoded value that has to be a table.
+
+    :param name: what it is, for the fault.
+    :raises FormatError: where it is something else.
+    """
+    if not isinstance(found, dict):
+        raise FormatError(Code.document_wrong, f'{name}: not a table')
+    return found
+
+
+def read_json_table(body: bytes, name: str) -> dict[str, Any]:
+    """Return the table that a JSON body holds.
+
+    :param name: what it is, for the fault.
+    :raises FormatError: where it cannot be read or holds something else.
+    """
+    try:
+        return as_table(orjson.loads(body), name)
+    except orjson.JSONDecodeError as error:
+        raise FormatError(Code.document_wrong, str(error)) from error
+
+
 def read_field(
     table: Mapping[str, Any],
     name: str,
@@ -45,7 +70,4 @@
 ) -> list[Mapping[str, Any]]:
     """Return a field that is a list of tables."""
     rows = read_field(table, name, list, [])
-    for row in rows:
-        if not isinstance(row, dict):
-            raise FormatError(Code.document_wrong, f'{name}: {row!r:.60}')
-    return rows
+    return [as_table(row, name) for row in rows]
--- a/src/siskinpass/platform/headers.py
+++ b/src/siskinpass/platform/headers.py
@@ -66,11 +66,7 @@
         key=_bearer(_text(found, AUTHORIZATION)),
         resume_after=_text(found, RESUME),
         prompt=_prompt(found),
-        headers=tuple(
-            header
-            for header in request.headers
-            if header[0].lower() not in dropped
-        ),
+        headers=_without(dropped, request.headers),
     )
 
 
@@ -97,9 +93,7 @@
         not_run=NOT_RUN in found or status == STATUS_MISDIRECTED,
         is_encoded=b'content-encoding' in found,
         idle_s=_keep_alive_s(_text(found, b'keep-alive')),
-        headers=tuple(
-            header for header in headers if header[0].lower() not in dropped
-        ),
+        headers=_without(dropped, headers),
     )
 
 
@@ -111,8 +105,6 @@
         ('X-Tenant', order.workspace),
         ('X-Request-Urgency', str(order.urgency)),
         ('Last-Event-Id', order.resume_after),
-        ('X-Kv-Backup', order.backup),
-        ('Kv-From', order.copy_from),
     )
     return [
         f'{name}: {text}'.encode('latin-1') for name, text in fields if text
@@ -124,6 +116,15 @@
     return frozenset(name.strip() for name in named)
 
 
+def _without(
+    dropped: frozenset[bytes],
+    headers: tuple[Header, ...],
+) -> tuple[Header, ...]:
+    return tuple(
+        header for header in headers if header[0].lower() not in dropped
+    )
+
+
 def _prompt(found: dict[bytes, bytes]) -> Prompt:
     # "prompt tokens, most output tokens"
     counts = _text(found, b'x-token-count').split(',')
--- a/src/siskinpass/platform/objects.py
+++ b/src/siskinpass/platform/objects.py
@@ -6,12 +6,13 @@
 
 import orjson
 
-from siskinpass.codes import Code
-from siskinpass.exceptions import FormatError
-from siskinpass.platform.fields import read_field, read_tables
+from siskinpass.platform.fields import (
+    read_field,
+    read_json_table,
+    read_tables,
+)
 
 INSTANCES_KIND = 'siskinpass-instances'
-JSON_HEADERS = (('Content-Type', 'application/json'),)
 STATUS_OK = 200
 STATUS_CREATED = 201
 STATUS_CONFLICT = 409
@@ -47,34 +48,29 @@
     next_name: str = ''
 
 
-def list_path(kind: str, after: str = '', *, stale: bool = False) -> str:
+def kind_path(kind: str) -> str:
+    """Return the path of a kind, at which its objects are created."""
+    return f'/-/objects/{kind}'
+
+
+def list_path(kind: str, after: str = '') -> str:
     """Return the path of a listing.
 
     :param after: name of the last object of the page before.
-    :param stale: whether an answer that is seconds old will do.
     """
-    query = []
-    if after:
-        query.append(f'after-rev={quote(after)}')
-    if stale:
-        query.append('stale-ok=1')
-    joined = '&'.join(query)
-    return f'/-/objects/{kind}?{joined}' if joined else f'/-/objects/{kind}'
+    path = kind_path(kind)
+    # Its name on the wire says revision; it takes the name of an object.
+    return f'{path}?after-rev={quote(after)}' if after else path
 
 
 def watch_path(kind: str, revision: int, wait_ms: int) -> str:
     """Return the path of a watch."""
-    return f'/-/objects/{kind}?watch={revision}&wait-ms={wait_ms}'
+    return f'{kind_path(kind)}?watch={revision}&wait-ms={wait_ms}'
 
 
 def object_path(kind: str, name: str) -> str:
     """Return the path of one object."""
-    return f'/-/objects/{kind}/{quote(name)}'
-
-
-def kind_path(kind: str) -> str:
-    """Return the path at which objects of a kind are created."""
-    return f'/-/objects/{kind}'
+    return f'{kind_path(kind)}/{quote(name)}'
 
 
 def encode_object(name: str, body: Any) -> bytes:
@@ -87,7 +83,7 @@
 
     :raises FormatError: where it cannot be read.
     """
-    table = _decode(body)
+    table = read_json_table(body, 'listing')
     stored = tuple(_object(row) for row in read_tables(table, 'items'))
     has_more = bool(table.get('has-more')) and stored
     return Page(
@@ -102,7 +98,7 @@
 
     :raises FormatError: where they cannot be read.
     """
-    table = _decode(body)
+    table = read_json_table(body, 'watch')
     stored = tuple(
         _object(
             read_field(row, 'object', dict),
@@ -113,16 +109,6 @@
     return Page(stored, read_field(table, 'current-rev', int))
 
 
-def _decode(body: bytes) -> dict[str, Any]:
-    try:
-        table = orjson.loads(body)
-    except orjson.JSONDecodeError as error:
-        raise FormatError(Code.document_wrong, str(error)) from error
-    if not isinstance(table, dict):
-        raise FormatError(Code.document_wrong, 'not a table')
-    return table
-
-
 def _object(row: dict[str, Any], *, is_deleted: bool = False) -> StoredObject:
     metadata = read_field(row, 'metadata', dict)
     return StoredObject(
--- a/src/siskinpass/platform/workers.py
+++ b/src/siskinpass/platform/workers.py
@@ -5,7 +5,7 @@
 
 from siskinpass.codes import Code
 from siskinpass.exceptions import FormatError
-from siskinpass.platform.fields import read_field
+from siskinpass.platform.fields import as_table, read_field
 from siskinpass.request.ticket import ServerView
 
 WORKERS_KIND = 'servers'
@@ -18,20 +18,19 @@
     :param name: the entry's name, which is the server's id.
     :raises FormatError: where the entry names no server to use.
     """
-    if not isinstance(spec, dict):
-        raise FormatError(Code.document_wrong, f'{name}: not a table')
-    state = read_field(spec, 'state', str)
+    entry = as_table(spec, name)
+    state = read_field(entry, 'state', str)
     if state not in STATES:
         raise FormatError(Code.document_wrong, f'{name}: state {state}')
     return ServerView(
         name=name,
-        address=_address(spec),
-        pool=read_field(spec, 'service', str),
-        zone=read_field(spec, 'zone', str, ''),
+        address=_address(entry),
+        pool=read_field(entry, 'service', str),
+        zone=read_field(entry, 'zone', str, ''),
         leaving=state != 'ready',
-        slots=read_field(spec, 'slots', int, 1),
+        slots=read_field(entry, 'slots', int, 1),
         # Unix milliseconds of the start of this incarnation.
-        incarnation=read_field(spec, 'born', int, 0),
+        incarnation=read_field(entry, 'born', int, 0),
     )
 
 
--- a/src/siskinpass/request/inbound.py
+++ b/src/siskinpass/request/inbound.py
@@ -111,8 +111,6 @@
     :param workspace: name of the workspace, empty where none applies.
     :param urgency: 0 is the most urgent, 9 the least.
     :param resume_after: last event that was passed on, empty for none.
-    :param backup: address of a server that keeps a copy of the run.
-    :param copy_from: address and name of a copy to go on from.
     """
 
     server: str
@@ -120,8 +118,6 @@
     workspace: str = ''
     urgency: int = 5
     resume_after: str = ''
-    backup: str = ''
-    copy_from: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -29,6 +29,8 @@
     '/-/resolution',
     '/-/readiness',
     '/-/report',
+    '/-/kv-list',
+    '/-/kv-events',
     'ttl-s',
     'path-prefix',
     'route-type',
@@ -63,7 +65,12 @@
         text = ''.join(
             path.read_text().lower() for path in ADAPTER.glob('*.py')
         )
-        unused = {'/-/readiness', '/-/report', 'siskinpass_settings'}
+        unused = {
+            '/-/readiness',
+            '/-/report',
+            '/-/kv-events',
+            'siskinpass_settings',
+        }
         assert [name for name in NAMES if name not in text] == [
             name for name in NAMES if name in unused and name not in text
         ]
