Do work of a request once, and say what a fleet's policy is in one place

- The lane took the open servers a second time for each prompt; it gets them.
Whether a stream is tight was worked out over all routes for each attempt; the table keeps its shortest pause.
- The policy of a fleet's brokers stood in the node, the bench and two tests; `fleet_policy` is the one that runs, so the tests play it.
- The sentences of failed requests stood in their writer and in the reader of the logs; they are constants now.
- A watch's "lost" followed from its count of failures.
One function notes a whole answer in metrics and log.

A table holds which streams are tight.

--- a/bench/decision.py
+++ b/bench/decision.py
@@ -5,9 +5,8 @@
 import time
 from dataclasses import dataclass
 
-from siskinpass.process.affinity import AffinityChooser
-from siskinpass.process.broker import Broker, BrokerPolicy
-from siskinpass.process.limits import LimitPolicy
+from siskinpass.process.broker import Broker
+from siskinpass.process.fleet.policy import fleet_policy
 from siskinpass.request.ticket import (
     GrantReleased,
     PromptPiece,
@@ -24,7 +23,7 @@
 OWN_TOKENS = 3700
 MEMORY_TOKENS = 600_000
 PERIOD_S = 0.1  # between two requests, so that none waits
-UNBOUNDED = 10_000
+OWN_PARTS_FROM = 10_000  # keys above those of the shared parts
 US_PER_S = 1_000_000
 TIERS = 3
 
@@ -66,15 +65,7 @@
 
 
 def _broker(servers: int) -> Broker:
-    broker = Broker(
-        BrokerPolicy(
-            LimitPolicy(UNBOUNDED, UNBOUNDED, UNBOUNDED),
-            pauses=False,
-            moves=False,
-            chooser=AffinityChooser(),
-            memory_tokens=MEMORY_TOKENS,
-        ),
-    )
+    broker = Broker(fleet_policy(MEMORY_TOKENS))
     views = (
         ServerView(f'e-{number}', '1.1.1.1:1', 'lm', slots=64)
         for number in range(servers)
@@ -96,7 +87,7 @@
         pausable=False,
         pieces=(
             PromptPiece(number % SHARED_PARTS, SHARED_TOKENS),
-            PromptPiece(UNBOUNDED + number, OWN_TOKENS),
+            PromptPiece(OWN_PARTS_FROM + number, OWN_TOKENS),
         ),
         tokens_in=SHARED_TOKENS + OWN_TOKENS,
         is_tight=number % TIERS == 0,
--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -105,7 +105,7 @@
         if not ticket.pieces:
             best = min(servers, key=partial(_plain_cost, now_s=table.now_s))
             return best if self._has_slot(best) else None
-        lane = self._lane.names(table)
+        lane = self._lane.names(free, table.now_s)
         cost = _PromptCost(self._policy, table, ticket, lane, servers)
         best = min(servers, key=cost.of)
         return best if self._has_room(best, ticket, table.now_s) else None
@@ -150,14 +150,20 @@
         self._open: frozenset[str] = frozenset()
         self._ranked: tuple[str, ...] = ()
 
-    def names(self, table: ServerTable) -> frozenset[str]:
-        """Return the servers of the lane, none where there are too few."""
-        servers = table.open_servers()
+    def names(
+        self,
+        servers: Sequence[Server],
+        now_s: float,
+    ) -> frozenset[str]:
+        """Return the servers of the lane, none where there are too few.
+
+        :param servers: those that may get a request now.
+        """
         if len(servers) < LANE_SERVERS_LEAST:
             return frozenset()
         tight = sum(server.load.tight for server in servers)
-        passed_s = table.now_s - self._seen_s
-        self._seen_s = table.now_s
+        passed_s = now_s - self._seen_s
+        self._seen_s = now_s
         held = self._streams * math.exp(-passed_s / self._policy.lane_hold_s)
         self._streams = max(float(tight), held)
         wanted = max(
--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -59,6 +59,11 @@
         self._asked: dict[str, _Asked] = {}
         self._views: dict[str, ServerView] = {}
 
+    @property
+    def servers(self) -> Iterable[ServerView]:
+        """Return the servers of all services."""
+        return self._views.values()
+
     @property
     def loads(self) -> dict[str, ServerLoad]:
         """Return what this instance runs on each server."""
@@ -69,11 +74,6 @@
             if server.running
         }
 
-    def load_of(self, ticket: Ticket, server: str) -> ServerLoad:
-        """Return what all instances run on a server."""
-        found = self.broker(ticket.pool).table.find(server)
-        return found.load if found else ServerLoad()
-
     @property
     def running(self) -> int:
         """Return how many requests run on backend servers."""
@@ -84,6 +84,11 @@
         """Return how many requests wait for a server."""
         return sum(broker.waiting for broker in self._brokers.values())
 
+    def load_of(self, ticket: Ticket, server: str) -> ServerLoad:
+        """Return what all instances run on a server."""
+        found = self.broker(ticket.pool).table.find(server)
+        return found.load if found else ServerLoad()
+
     async def acquire(self, ticket: Ticket) -> ServerView:
         """Wait for a server.
 
@@ -136,11 +141,6 @@
         for pool in self._brokers:
             self._apply(pool, PeerLoadsTold(loads))
 
-    @property
-    def servers(self) -> Iterable[ServerView]:
-        """Return the servers of all services."""
-        return self._views.values()
-
     def note_placed(self, placed: PromptPlaced) -> None:
         """Take in a prompt that another instance placed."""
         view = self._views.get(placed.server)
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -18,6 +18,11 @@
 from siskinpass.process.fleet.tickets import Attempt, make_ticket, urgency_of
 from siskinpass.process.logs import PartLog
 from siskinpass.process.metrics import ANSWERED, Metrics
+from siskinpass.process.request_story import (
+    ATTEMPT_FAILED,
+    REQUEST_REFUSED,
+    STREAM_CUT,
+)
 from siskinpass.request.events import EventTap
 from siskinpass.request.inbound import (
     AnswerHead,
@@ -283,20 +288,31 @@
             self._caller.answer(
                 ended.head.status, ended.head.headers, ended.body
             )
-        self._count_answer(plan.route)
-        self._log_end()
+        self._note_answer()
 
-    def _count_answer(self, route: Route) -> None:
+    def _note_answer(self) -> None:
         metrics, tap = self._tools.metrics, self._tap
-        metrics.answered(route.name, tap.count if tap else 0)
+        events = tap.count if tap else 0
+        first_ms = tap.first_ms if tap else 0
+        pause_ms = tap.pause_ms if tap else 0
+        age_s = self._age_s()
+        metrics.answered(self._node, events)
+        metrics.ended(self._node, ANSWERED, age_s)
         if tap is not None:
             metrics.streamed(
-                route.name,
-                tap.first_ms / MS_PER_S,
-                tap.pause_ms / MS_PER_S,
+                self._node,
+                first_ms / MS_PER_S,
+                pause_ms / MS_PER_S,
             )
-        age_s = _ms_since(self._started_s) / MS_PER_S
-        metrics.ended(route.name, ANSWERED, age_s)
+        self._tools.log.often(
+            'A request was answered.',
+            call=self._call.call_id,
+            server=self._server,
+            first_ms=first_ms,
+            pause_ms=pause_ms,
+            events=events,
+            age_ms=_in_ms(age_s),
+        )
 
     def _finish(self, step: Step, ended: Ended) -> None:
         if self._has_begun or step is Step.cut:
@@ -328,12 +344,12 @@
             self._refuse(error.code, error.retry_after_ms)
 
     def _cut(self, code: Code) -> None:
-        self._note('A stream was cut.', code)
+        self._note(STREAM_CUT, code)
         self._caller.cut_stream()
 
     def _refuse(self, code: Code, retry_after_ms: int = 0) -> None:
         meaning = MEANINGS[code]
-        self._note('A request was refused.', code)
+        self._note(REQUEST_REFUSED, code)
         headers: tuple[tuple[bytes, bytes], ...] = ()
         if meaning.status == STATUS_UNAVAILABLE:
             wait_s = max(RETURN_LEAST_S, retry_after_ms / MS_PER_S)
@@ -342,9 +358,9 @@
         self._caller.answer(meaning.status, headers, meaning.text.encode())
 
     def _note(self, sentence: str, code: Code) -> None:
-        age_ms = _ms_since(self._started_s)
+        age_s = self._age_s()
         self._tools.metrics.refused(code)
-        self._tools.metrics.ended(self._node, code.name, age_ms / MS_PER_S)
+        self._tools.metrics.ended(self._node, code.name, age_s)
         self._tools.log.note(
             sentence,
             call=self._call.call_id,
@@ -353,13 +369,13 @@
             route=self._node,
             server=self._server,
             waiting=self._tools.assigner.waiting,
-            age_ms=age_ms,
+            age_ms=_in_ms(age_s),
         )
 
     def _log_grant(self, ticket: Ticket, view: ServerView) -> None:
         load = self._tools.assigner.load_of(ticket, view.name)
-        waited_ms = _ms_since(ticket.opened_s)
-        self._tools.metrics.waited(ticket.node, waited_ms / MS_PER_S)
+        waited_s = _now_s() - ticket.opened_s
+        self._tools.metrics.waited(ticket.node, waited_s)
         self._tools.log.often(
             'A request goes to a server.',
             call=self._call.call_id,
@@ -370,24 +386,12 @@
             tight=load.tight,
             unread=sum(load.unread),
             tokens=ticket.tokens_in,
-            waited_ms=waited_ms,
-        )
-
-    def _log_end(self) -> None:
-        tap = self._tap
-        self._tools.log.often(
-            'A request was answered.',
-            call=self._call.call_id,
-            server=self._server,
-            first_ms=tap.first_ms if tap else 0,
-            pause_ms=tap.pause_ms if tap else 0,
-            events=tap.count if tap else 0,
-            age_ms=_ms_since(self._started_s),
+            waited_ms=_in_ms(waited_s),
         )
 
     def _log_step(self, plan: '_Plan', ended: Ended, step: Step) -> None:
         self._tools.log.note(
-            'An attempt failed.',
+            ATTEMPT_FAILED,
             call=self._call.call_id,
             route=plan.route.name,
             version=plan.table.version,
@@ -396,7 +400,7 @@
             cause=ended.cause,
             status=ended.head.status if ended.head else 0,
             step=step.value,
-            age_ms=_ms_since(self._started_s),
+            age_ms=_in_ms(self._age_s()),
         )
 
     def _resume_after(self, route: Route) -> str:
@@ -405,6 +409,9 @@
         own = self._tap.last_id if self._tap else ''
         return own or self._call.resume_after
 
+    def _age_s(self) -> float:
+        return _now_s() - self._started_s
+
     def _ticket_id(self) -> str:
         return f'{self._number}.{self._sends.run}.{self._sends.not_run}'
 
@@ -435,8 +442,8 @@
 })
 
 
-def _ms_since(began_s: float) -> int:
-    return int((_now_s() - began_s) * MS_PER_S)
+def _in_ms(time_s: float) -> int:
+    return int(time_s * MS_PER_S)
 
 
 def _now_s() -> float:
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -11,7 +11,6 @@
 from siskinpass.platform.config import CONFIG_KIND
 from siskinpass.platform.workers import WORKERS_KIND
 from siskinpass.process.addresses import addresses_near
-from siskinpass.process.affinity import AffinityChooser
 from siskinpass.process.broker import BrokerPolicy
 from siskinpass.process.fleet.assigner import Assigner
 from siskinpass.process.fleet.budgets import RetryBudgets
@@ -19,11 +18,11 @@
 from siskinpass.process.fleet.kept_parts import KeptParts
 from siskinpass.process.fleet.loads import LoadExchange
 from siskinpass.process.fleet.members import FleetMembers
+from siskinpass.process.fleet.policy import fleet_policy
 from siskinpass.process.fleet.settings import FleetSettings
 from siskinpass.process.fleet.state import StoredState
 from siskinpass.process.fleet.store_client import StoreClient
 from siskinpass.process.fleet.watch import KindWatch, watch_wait_s
-from siskinpass.process.limits import LimitPolicy
 from siskinpass.process.logs import PartLog
 from siskinpass.process.metrics import Metrics
 from siskinpass.request.inbound import WireRequest
@@ -31,10 +30,6 @@
 from siskinpass.request.ticket import PromptPlaced, ServerLoad
 
 BACKLOG = 1024  # connections that wait to be accepted, as in a burst
-# The chooser bounds what a server gets, by all instances' loads.
-UNBOUNDED_SLOTS = 10_000
-# One lost answer in twenty is ordinary on the sheets; three in a row are not.
-PROBE_AFTER = 3
 TICK_S = 0.1  # a tenth of the shortest bound that is checked in it
 LOADS_PORT_STEP = 2  # from the port of the heartbeats to that of the loads
 # Kept connections to backend servers are reused for long, new ones are dear;
@@ -231,14 +226,7 @@
         table = self._state.table()
         service = table.services.get(pool) if table else None
         engine = service.engine if service else None
-        return BrokerPolicy(
-            LimitPolicy(UNBOUNDED_SLOTS, UNBOUNDED_SLOTS, UNBOUNDED_SLOTS),
-            pauses=False,
-            chooser=AffinityChooser(),
-            moves=False,
-            probe_after=PROBE_AFTER,
-            memory_tokens=engine.memory_tokens if engine else 0,
-        )
+        return fleet_policy(engine.memory_tokens if engine else 0)
 
     def _tell_placed(self, placed: PromptPlaced) -> None:
         self._loads.tell_placed(placed)
--- a/src/siskinpass/process/fleet/tickets.py
+++ b/src/siskinpass/process/fleet/tickets.py
@@ -66,7 +66,7 @@
         pausable=False,
         avoid=attempt.avoid,
         tokens_in=prompt.tokens_in,
-        is_tight=is_tight(route, plan.table),
+        is_tight=plan.table.is_tight(route),
     )
 
 
@@ -77,15 +77,6 @@
     )
 
 
-def is_tight(route: Route, table: RouteTable) -> bool:
-    """Return whether no other stream of the table has a shorter pause.
-
-    Where all streams have the same pause, none is tight.
-    """
-    pauses = {other.pause_s for other in table.routes if other.pause_s > 0}
-    return len(pauses) > 1 and route.pause_s == min(pauses)
-
-
 def urgency_of(tier: int) -> int:
     """Return the engine's urgency for a tier."""
     return min(URGENCY_MOST, max(0, tier))
--- a/src/siskinpass/process/fleet/watch.py
+++ b/src/siskinpass/process/fleet/watch.py
@@ -69,7 +69,6 @@
         self._wait_s = wait_s
         self._log = PartLog('store')
         self._revision: int | None = None
-        self._is_lost = False
         self._failures = 0
 
     async def run(self) -> None:
@@ -109,8 +108,7 @@
         self._failures += 1
         # A missed change shows only in a listing.
         self._revision = None
-        if not self._is_lost:
-            self._is_lost = True
+        if self._failures == 1:
             self._log.warn(
                 'The store does not answer.',
                 kind=self._kind,
@@ -119,9 +117,8 @@
         self._tell(Lost())
 
     def _regain(self) -> None:
-        if self._is_lost:
+        if self._failures:
             self._log.note('The store answers again.', kind=self._kind)
-        self._is_lost = False
         self._failures = 0
 
     def _pause_s(self) -> float:
--- a/src/siskinpass/process/request_story.py
+++ b/src/siskinpass/process/request_story.py
@@ -26,11 +26,11 @@
 )
 SERVER_PARTS = frozenset(('state',))
 INSTANCE_PARTS = frozenset(('state', 'store', 'node'))
-FAILURES = frozenset((
-    'An attempt failed.',
-    'A stream was cut.',
-    'A request was refused.',
-))
+# What the writers of the logs say where a request failed.
+ATTEMPT_FAILED = 'An attempt failed.'
+STREAM_CUT = 'A stream was cut.'
+REQUEST_REFUSED = 'A request was refused.'
+FAILURES = frozenset((ATTEMPT_FAILED, STREAM_CUT, REQUEST_REFUSED))
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/siskinpass/version/routes.py
+++ b/src/siskinpass/version/routes.py
@@ -168,6 +168,18 @@
         """
         return self._tiers[self._workspace_tier(workspace), route.tier]
 
+    def is_tight(self, route: Route) -> bool:
+        """Return whether no other stream has a shorter pause.
+
+        Where all streams have the same pause, none is tight.
+        """
+        return route.pause_s > 0 and route.pause_s == self._tight_pause_s
+
+    @cached_property
+    def _tight_pause_s(self) -> float:
+        pauses = {route.pause_s for route in self.routes if route.pause_s > 0}
+        return min(pauses) if len(pauses) > 1 else 0.0
+
     @cached_property
     def _tiers(self) -> dict[tuple[int, int], int]:
         """Number the pairs of tiers without gaps."""
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from siskinpass.process.affinity import AffinityChooser, AffinityPolicy
-from siskinpass.process.broker import Broker, BrokerPolicy
+from siskinpass.process.affinity import AffinityPolicy
+from siskinpass.process.broker import Broker
 from siskinpass.process.cache_map import CacheMap
-from siskinpass.process.limits import LimitPolicy
+from siskinpass.process.fleet.policy import fleet_policy
 from siskinpass.process.reading import READ_TOKENS_S
 from siskinpass.request.ticket import (
     ClockTicked,
@@ -34,21 +34,11 @@
 PLAIN = tuple(
     ServerView(f's-{n}', '1.1.1.1:1', 'app', slots=6) for n in range(3)
 )
-MANY = LimitPolicy(10_000, 10_000, 10_000)
 
 
 def broker(servers=SERVERS):
     """Return a broker that places by cost."""
-    made = Broker(
-        BrokerPolicy(
-            MANY,
-            pauses=False,
-            moves=False,
-            chooser=AffinityChooser(),
-            memory_tokens=MEMORY,
-            probe_after=3,
-        ),
-    )
+    made = Broker(fleet_policy(MEMORY))
     made.apply(ServersListed(servers), 0.0)
     return made
 
--- a/tests/test_assigner.py
+++ b/tests/test_assigner.py
@@ -4,9 +4,8 @@
 
 from siskinpass.platform.config import CONFIG_NAME
 from siskinpass.platform.objects import StoredObject
-from siskinpass.process.affinity import AffinityChooser
-from siskinpass.process.broker import BrokerPolicy
 from siskinpass.process.fleet.assigner import Assigner
+from siskinpass.process.fleet.policy import fleet_policy
 from siskinpass.process.fleet.state import StoredState
 from siskinpass.process.fleet.watch import Listed
 from siskinpass.request.ticket import PromptPiece, PromptPlaced
@@ -43,10 +42,7 @@
         table = self.state.table()
         service = table.services.get(pool) if table else None
         memory_tokens = service.engine.memory_tokens if service else 0
-        return BrokerPolicy(
-            chooser=AffinityChooser(),
-            memory_tokens=memory_tokens,
-        )
+        return fleet_policy(memory_tokens)
 
 
 class TestEngineMemory:
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -84,6 +84,24 @@
         tiers = [table.tier_of(one, None) for one in table.routes]
         assert tiers == [0, 1]
 
+    @pytest.mark.parametrize(
+        ('pauses', 'tight'),
+        [
+            ((0.2, 0.3, 0.8, 0.0), [True, False, False, False]),
+            ((0.2, 0.2, 0.3), [True, True, False]),
+            ((0.3, 0.3, 0.0), [False, False, False]),
+            ((0.0,), [False]),
+        ],
+    )
+    def test_shortest_pause_is_tight(self, pauses, tight):
+        """Where all streams have the same pause, none is tight."""
+        routes = tuple(
+            route(f'/{number}/', pause_s=pause_s)
+            for number, pause_s in enumerate(pauses)
+        )
+        table = RouteTable(1, routes, {})
+        assert [table.is_tight(one) for one in routes] == tight
+
     @pytest.mark.parametrize(
         ('draw', 'expected'),
         [(0.0, 'a'), (0.89, 'a'), (0.91, 'b'), (0.9999, 'b')],
