Obey servers' notices, and distrust a store that was restored from a copy

No module read the store's era, a server's announcement that it leaves, or its Retry-After. Ruled out: keeping the revision alone as position of a watch; believing every entry of a restored store; a pause shared by all instances. Change: eras in the store client and the watch; KnownServers keeps what it knew of each incarnation; Server-Leaving marks a server at once, here and at the other instances; a pause excludes a server in every ticket; resends open a new connection; only whole events count as progress; bounds on bytes.

--- a/src/siskinpass/codes.py
+++ b/src/siskinpass/codes.py
@@ -49,6 +49,7 @@
     claim_in_progress = 2008
     too_many_connections = 2009
     broker_lost = 2010
+    servers_paused = 2011
 
     backend_unreachable = 3001
     stream_cut = 3002
@@ -144,6 +145,7 @@
     ),
     Code.too_many_connections: _refused('Too many connections are open.'),
     Code.broker_lost: _refused('The broker of the group does not answer.'),
+    Code.servers_paused: _refused('All backend servers asked for a pause.'),
     Code.backend_unreachable: Meaning(
         502,
         Ran.not_run,
--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -17,6 +17,9 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 8.0
 MAX_IDLE_PER_SERVER = 64
+# Bytes that may arrive without any of them belonging to the response's body: a
+# head, interim responses, or a response to another request.
+MAX_UNUSED_BYTES = 262_144
 STATUS_OK = 200
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 # Equal to the time that callers wait for the next event of a stream: a backend
@@ -73,6 +76,8 @@
         self._has_unsolicited_answer = False
         self._ends_at_close = False
         self._is_reusable = False
+        self._unused_bytes = 0
+        self._has_used_bytes = False
         self.idle_until_s = 0.0
         self.idle_s = IDLE_TIMEOUT_S
 
@@ -104,25 +109,43 @@
         return False
 
     def data_received(self, piece: bytes) -> None:
-        """Parse received data; close the connection on unsolicited data."""
+        """Parse received data; close the connection on unsolicited data.
+
+        A server in trouble may send bytes without end that belong to no
+        response; the connection is closed after ``MAX_UNUSED_BYTES`` of them.
+        """
         if self._sink is None:
             self._transport.abort()
             return
+        self._has_used_bytes = False
         try:
             self._parser.feed_data(piece)
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
-            self._fail(BackendError(Code.backend_error, str(error)))
-            self._transport.abort()
+            self._fail_and_close(str(error))
+            return
+        self._unused_bytes = (
+            0 if self._has_used_bytes else self._unused_bytes + len(piece)
+        )
+        if self._unused_bytes > MAX_UNUSED_BYTES:
+            self._fail_and_close('too many bytes that belong to no response')
             return
         self._release()
 
     def send(self, request: bytes, sink: AnswerSink) -> None:
-        """Send a request and pass its response to the sink."""
+        """Send a request and pass its response to the sink.
+
+        A connection that has been closed meanwhile fails with
+        :exc:`ConnectError`, which tells the sink that nothing was sent.
+        """
+        if not self.is_open:
+            sink.receive_failure(ConnectError(Code.backend_unreachable))
+            return
         self._sink = sink
         self._is_reusable = False
+        self._unused_bytes = 0
         self._transport.write(request)
 
     def cancel(self) -> None:
@@ -161,6 +184,7 @@
     def on_body(self, piece: bytes) -> None:
         """Pass a piece of the body to the sink unless it is being skipped."""
         if self._sink is not None and not self._is_skipping:
+            self._has_used_bytes = True
             self._sink.receive_body(piece)
 
     def on_message_complete(self) -> None:
@@ -186,6 +210,10 @@
         elif self.is_open:
             self._on_idle(self)
 
+    def _fail_and_close(self, cause: str) -> None:
+        self._fail(BackendError(Code.backend_error, cause))
+        self._transport.abort()
+
     def _fail(self, error: BackendError) -> None:
         sink, self._sink = self._sink, None
         if sink is not None:
--- a/src/siskinpass/connection/caller.py
+++ b/src/siskinpass/connection/caller.py
@@ -107,7 +107,7 @@
             self._check_for_body()
         elif not self._is_busy:
             self._check_for_head()
-        elif len(self._buffer) > MAX_PIPELINED_BYTES:
+        elif len(self._buffer) > MAX_PIPELINED_BYTES and self.is_open:
             self._is_reading = False
             self._transport.pause_reading()
 
@@ -140,18 +140,20 @@
 
     def write(self, wire: bytes) -> None:
         """Send data as is."""
-        self._transport.write(wire)
+        # uvloop raises an error for a write to a closed transport.
+        if self.is_open:
+            self._transport.write(wire)
 
     def write_chunk(self, piece: bytes) -> None:
         """Send one chunk of a chunked response."""
-        self._transport.write(b'%x\r\n%b\r\n' % (len(piece), piece))
+        self.write(b'%x\r\n%b\r\n' % (len(piece), piece))
 
     def finish(self, *, keep_alive: bool) -> None:
         """Finish a response, then close or start the next request."""
         self.on_lost = None
         self.on_writable = None
         self._body = None
-        if not keep_alive:
+        if not keep_alive or not self.is_open:
             self._transport.close()
             return
         self._is_busy = False
--- a/src/siskinpass/connection/fetch.py
+++ b/src/siskinpass/connection/fetch.py
@@ -8,6 +8,9 @@
 from siskinpass.exceptions import BackendError
 from siskinpass.request.inbound import Header
 
+# The store's lists have pages of about 1 MB; no answer is larger than a few.
+MAX_BODY_BYTES = 16_777_216
+
 
 @dataclass(frozen=True, slots=True)
 class FetchedAnswer:
@@ -15,6 +18,7 @@
 
     status: int
     body: bytes
+    headers: tuple[Header, ...] = ()
 
 
 class _Collector(AnswerSink):
@@ -23,24 +27,32 @@
     def __init__(self) -> None:
         """Start empty."""
         self._status = 0
+        self._headers: tuple[Header, ...] = ()
         self._pieces = bytearray()
         loop = asyncio.get_running_loop()
         self.finished: asyncio.Future[FetchedAnswer] = loop.create_future()
 
     def receive_head(self, status: int, headers: tuple[Header, ...]) -> bool:
-        """Store the status; accept every response."""
+        """Store the status and headers; accept every response."""
         self._status = status
+        self._headers = headers
         return True
 
     def receive_body(self, piece: bytes) -> None:
-        """Append a piece of the body."""
+        """Append a piece of the body; fail if it becomes too large."""
         self._pieces += piece
+        if len(self._pieces) > MAX_BODY_BYTES:
+            self._pieces.clear()
+            self.receive_failure(
+                BackendError(Code.backend_error, 'the body is too large')
+            )
 
     def receive_end(self) -> None:
         """Complete the future with the response."""
         if not self.finished.done():
-            answer = FetchedAnswer(self._status, bytes(self._pieces))
-            self.finished.set_result(answer)
+            self.finished.set_result(
+                FetchedAnswer(self._status, bytes(self._pieces), self._headers)
+            )
 
     def receive_failure(self, error: BackendError) -> None:
         """Complete the future with the error."""
--- a/src/siskinpass/connection/http_caller.py
+++ b/src/siskinpass/connection/http_caller.py
@@ -167,7 +167,7 @@
             self._timer.start(self._limits().head_timeout_s)
         self._fault = self._collector.feed(piece) or self._fault
         self._check_bounds()
-        if len(self._collector.complete) > MAX_PIPELINED:
+        if len(self._collector.complete) > MAX_PIPELINED and self.is_open:
             self._transport.pause_reading()
         if not self.is_busy:
             self._start_next()
@@ -196,7 +196,7 @@
         if not keep_alive:
             sent_headers = (*sent_headers, CLOSE_HEADER)
         sent_body = b'' if self._method == b'HEAD' else body
-        self._transport.write(encode_head(status, sent_headers) + sent_body)
+        self._write(encode_head(status, sent_headers) + sent_body)
         self._finish(keep_alive=keep_alive)
 
     def start_stream(self, status: int, headers: tuple[Header, ...]) -> None:
@@ -205,15 +205,15 @@
         if not self._should_keep_alive():
             sent_headers = (*sent_headers, CLOSE_HEADER)
             self._keep_alive = False
-        self._transport.write(encode_head(status, sent_headers))
+        self._write(encode_head(status, sent_headers))
 
     def write_piece(self, piece: bytes) -> None:
         """Send one chunk of a chunked response."""
-        self._transport.write(b'%x\r\n%b\r\n' % (len(piece), piece))
+        self._write(b'%x\r\n%b\r\n' % (len(piece), piece))
 
     def end_stream(self) -> None:
         """Send the last chunk and finish the response as complete."""
-        self._transport.write(LAST_CHUNK)
+        self._write(LAST_CHUNK)
         self._finish(keep_alive=self._should_keep_alive())
 
     def truncate_stream(self) -> None:
@@ -234,6 +234,14 @@
         """Close at once, discarding data that was not sent yet."""
         self._transport.abort()
 
+    def _write(self, wire: bytes) -> None:
+        """Send data, unless the caller has disconnected.
+
+        uvloop raises an error for a write to a closed transport.
+        """
+        if self.is_open:
+            self._transport.write(wire)
+
     def _check_bounds(self) -> None:
         limits = self._limits()
         if len(self._collector.body) > limits.body_bytes:
--- a/src/siskinpass/platform/headers.py
+++ b/src/siskinpass/platform/headers.py
@@ -1,5 +1,7 @@
 """Translate the headers of requests and responses."""
 
+import math
+
 from siskinpass.platform.fields import MS_PER_S
 from siskinpass.request.inbound import (
     AnswerHead,
@@ -8,17 +10,23 @@
     Prompt,
     PromptPart,
     SendContext,
+    ServerNotice,
     WireRequest,
 )
 
 CALL_ID = b'x-attempt-id'
+LEAVING = b'server-leaving'
+RETRY_AFTER = b'retry-after'
 RECEIPT = b'x-server-seal'
 NOT_RUN = b'x-not-executed'
 DEADLINE = b'x-deadline-ms'
 RESUME = b'last-event-id'
 AUTHORIZATION = b'authorization'
 BEARER = 'bearer '
+FLAG_SET = '1'
+FLAG_VALUES = frozenset(('', '0', FLAG_SET))
 STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
 
 # Headers that apply to a single connection and must not be forwarded.
 HOP_BY_HOP_HEADERS = frozenset((
@@ -90,6 +98,7 @@
     by_name = {name.lower(): text for name, text in headers}
     dropped = HOP_BY_HOP_HEADERS | _listed_in_connection(by_name)
     return AnswerHead(
+        notice=_decode_notice(status, by_name),
         status=status,
         call_id=_header_text(by_name, CALL_ID),
         receipt=_header_text(by_name, RECEIPT),
@@ -102,6 +111,27 @@
     )
 
 
+def _decode_notice(status: int, by_name: dict[bytes, bytes]) -> ServerNotice:
+    # A 421 comes from a server other than the one that the request was for.
+    if status == STATUS_MISDIRECTED:
+        return ServerNotice()
+    leaving = _header_text(by_name, LEAVING)
+    pause = ''
+    if status == STATUS_UNAVAILABLE:
+        pause = _header_text(by_name, RETRY_AFTER)
+    pause_s = _finite_seconds(pause)
+    unreadable = []
+    if leaving not in FLAG_VALUES:
+        unreadable.append(f'{LEAVING.decode()}: {leaving:.60}')
+    if pause and pause_s is None:
+        unreadable.append(f'{RETRY_AFTER.decode()}: {pause:.60}')
+    return ServerNotice(
+        is_leaving=leaving == FLAG_SET,
+        pause_s=pause_s or 0.0,
+        unreadable=tuple(unreadable),
+    )
+
+
 def _system_header_lines(context: SendContext) -> list[bytes]:
     left_ms = max(1, int(context.remaining_s * MS_PER_S))
     fields = (
@@ -165,6 +195,14 @@
     return 0.0
 
 
+def _finite_seconds(text: str) -> float | None:
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) and seconds >= 0 else None
+
+
 def _header_text(by_name: dict[bytes, bytes], name: bytes) -> str:
     return by_name.get(name, b'').decode('latin-1').strip()
 
--- a/src/siskinpass/platform/objects.py
+++ b/src/siskinpass/platform/objects.py
@@ -1,16 +1,20 @@
 """Encode requests to the platform's object store and decode its pages."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
 
 import orjson
 
+from siskinpass.codes import Code
+from siskinpass.exceptions import FormatError
 from siskinpass.platform.fields import (
     read_field,
     read_json_table,
     read_tables,
 )
+from siskinpass.request.inbound import Header
 
 INSTANCES_KIND = 'siskinpass-instances'
 STATUS_OK = 200
@@ -18,6 +22,7 @@
 STATUS_CONFLICT = 409
 STATUS_GONE = 410
 STATUS_NOT_FOUND = 404
+ERA = b'store-era'
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,14 +45,35 @@
 class Page:
     """Result of one list or watch request.
 
+    A revision counts only together with its era: the store gives revisions out
+    again after it was restored from an older copy.
+
     :param revision: store revision to start the next watch from.
     :param next_name: name after which the next page starts, empty on the
         last page.
+    :param era: number of times that the store was restored.
     """
 
     stored: tuple[StoredObject, ...]
     revision: int
     next_name: str = ''
+    era: int = 0
+
+
+def decode_era(headers: Iterable[Header]) -> int | None:
+    """Return the store's era from the headers of an answer.
+
+    :returns: ``None`` if the answer does not state it.
+    :raises FormatError: if it is not a whole number.
+    """
+    for name, text in headers:
+        if name.lower() == ERA:
+            if not text.isdigit():
+                raise FormatError(
+                    Code.document_wrong, f'{ERA.decode()}: {text!r:.60}'
+                )
+            return int(text)
+    return None
 
 
 def kind_path(kind: str) -> str:
@@ -55,16 +81,21 @@
     return f'/-/objects/{kind}'
 
 
-def list_path(kind: str, after: str = '') -> str:
+def list_path(kind: str, after: str = '', *, stale: bool = False) -> str:
     """Return the path of one page of a listing.
 
     :param after: name of the last object on the previous page, empty for the
         first page.
+    :param stale: whether the answer may be some seconds old, which costs the
+        store less.
     """
-    path = kind_path(kind)
-    # Despite its wire name, this parameter takes the name of an object, not
-    # a revision.
-    return f'{path}?after-rev={quote(after)}' if after else path
+    # Despite its wire name, the first parameter takes the name of an object,
+    # not a revision.
+    fields = (
+        *((f'after-rev={quote(after)}',) if after else ()),
+        *(('stale-ok=1',) if stale else ()),
+    )
+    return '?'.join((kind_path(kind), *filter(None, ('&'.join(fields),))))
 
 
 def watch_path(kind: str, revision: int, wait_ms: int) -> str:
--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -123,10 +123,14 @@
         """Return the cheapest server, or ``None`` if the ticket should wait.
 
         A server that has just failed for this ticket is used only if no other
-        server is free. Tickets without prompt parts are placed by load and
-        failure rate only.
+        server is free, and one that asked for a pause not at all. Tickets
+        without prompt parts are placed by load and failure rate only.
         """
-        free = table.open_servers()
+        free = [
+            server
+            for server in table.open_servers()
+            if not ticket.excludes(server.view.name, table.now_s)
+        ]
         preferred = [one for one in free if one.view.name != ticket.avoid]
         servers = preferred or free
         if not servers:
--- a/src/siskinpass/process/fleet/answer.py
+++ b/src/siskinpass/process/fleet/answer.py
@@ -1,15 +1,16 @@
 """Receive and check one backend server's answer to one request."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
 from siskinpass.codes import Code
 from siskinpass.connection.backend import AnswerSink, BackendConnection
-from siskinpass.exceptions import BackendError
+from siskinpass.exceptions import BackendError, ConnectError
 from siskinpass.platform.headers import decode_answer
 from siskinpass.request.events import EventStreamParser
-from siskinpass.request.inbound import AnswerHead, Header
+from siskinpass.request.inbound import AnswerHead, Header, ServerNotice
 from siskinpass.request.resend import AttemptOutcome
 from siskinpass.request.timeouts import AttemptTimeouts
 
@@ -18,6 +19,12 @@
 # could cross with the close.
 IDLE_MARGIN_S = 1.0
 MIN_IDLE_S = 0.2
+# Longest answer that is kept until its end. The platform's own pages are at
+# most as large.
+MAX_BODY_BYTES = 4_194_304
+# A body counts as progressing only by so much at a time, so that a server that
+# sends a byte now and then counts as silent.
+MIN_PROGRESS_BYTES = 1024
 
 
 class EventWriter(Protocol):
@@ -59,6 +66,7 @@
     :param parser: splits the stream into events and counts them over all
         attempts; ``None`` for an answer that is delivered in one piece.
     :param writer: receives complete events.
+    :param on_notice: called with what the server says about itself.
     """
 
     def __init__(
@@ -66,7 +74,9 @@
         call_id: str,
         parser: EventStreamParser | None,
         writer: EventWriter,
+        on_notice: Callable[[ServerNotice], None],
     ) -> None:
+        self._on_notice = on_notice
         self._call_id = call_id
         self._parser = parser
         self._writer = writer
@@ -74,8 +84,9 @@
         self._body = bytearray()
         self._is_streaming = False
         self._rejection = ''
-        self._last_received_s = 0.0
-        self._has_received = False
+        self._last_progress_s = 0.0
+        self._has_progressed = False
+        self._unreported_bytes = 0
         self._connection: BackendConnection | None = None
         self._loop = asyncio.get_running_loop()
         self.finished: asyncio.Future[AttemptResult] = (
@@ -90,7 +101,7 @@
     def start(self, connection: BackendConnection, request: bytes) -> None:
         """Send the request and start the timeouts of the attempt."""
         self._connection = connection
-        self._last_received_s = self._loop.time()
+        self._last_progress_s = self._loop.time()
         connection.send(request, self)
 
     def cancel(self) -> None:
@@ -109,11 +120,11 @@
         """
         while timeouts and not self.finished.done():
             allowed_s = (
-                timeouts.pause_s if self._has_received else timeouts.first_s
+                timeouts.pause_s if self._has_progressed else timeouts.first_s
             )
-            remaining_s = self._last_received_s + allowed_s - self._loop.time()
+            remaining_s = self._last_progress_s + allowed_s - self._loop.time()
             if remaining_s <= 0:
-                self._abort(f'no data received for {allowed_s:.1f} s')
+                self._abort(f'no progress for {allowed_s:.1f} s')
             await asyncio.wait((self.finished,), timeout=max(0, remaining_s))
         return await self.finished
 
@@ -127,6 +138,8 @@
         head = decode_answer(status, headers)
         if head.call_id and head.call_id != self._call_id:
             return False
+        if not head.notice.is_empty:
+            self._on_notice(head.notice)
         self._head = head
         self._rejection = _rejection_of(head)
         if self._connection is not None and head.idle_s:
@@ -138,21 +151,15 @@
 
     def receive_body(self, piece: bytes) -> None:
         """Collect a body, or forward the complete events of a stream."""
-        self._last_received_s = self._loop.time()
-        self._has_received = True
-        if self._rejection:
-            return
-        if not self._is_streaming:
-            self._body += piece
-            return
-        try:
-            events = self._parser.feed(piece, self._loop.time())
-        except BackendError as error:
-            self._abort(str(error))
+        if self._is_streaming:
+            self._receive_events(piece)
             return
-        if events:
-            self._writer.begin(self._head)
-            self._writer.write(events)
+        self._body += piece
+        self._unreported_bytes += len(piece)
+        if self._unreported_bytes >= MIN_PROGRESS_BYTES:
+            self._note_progress()
+        if len(self._body) > MAX_BODY_BYTES:
+            self._abort('the body is too large')
 
     def receive_end(self) -> None:
         """End the attempt with the complete answer."""
@@ -167,11 +174,29 @@
     def receive_failure(self, error: BackendError) -> None:
         """End an attempt whose connection failed."""
         self._connection = None
-        if self._head is not None and self._head.not_run:
+        if isinstance(error, ConnectError):
+            self._end(AttemptResult(AttemptOutcome.unsent, cause=str(error)))
+        elif self._head is not None and self._head.not_run:
             self._end(AttemptResult(AttemptOutcome.declined, self._head))
         else:
             self._end(self._failure_result(str(error) or 'closed'))
 
+    def _receive_events(self, piece: bytes) -> None:
+        try:
+            events = self._parser.feed(piece, self._loop.time())
+        except BackendError as error:
+            self._abort(str(error))
+            return
+        if events:
+            self._note_progress()
+            self._writer.begin(self._head)
+            self._writer.write(events)
+
+    def _note_progress(self) -> None:
+        self._last_progress_s = self._loop.time()
+        self._has_progressed = True
+        self._unreported_bytes = 0
+
     def _end_stream(self) -> None:
         if self._parser.is_whole and self._parser.count:
             self._writer.begin(self._head)
--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -7,11 +7,12 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from siskinpass.codes import Code
 from siskinpass.exceptions import RefusedError
 from siskinpass.process.broker import Broker, BrokerPolicy
+from siskinpass.process.server_pauses import ServerPauses
 from siskinpass.request.ticket import (
     ClockTicked,
     Command,
@@ -31,6 +32,7 @@
 
 # Interval at which waiting tickets are checked; a refusal is at most this late.
 TICK_S = 0.02
+MS_PER_S = 1000
 
 PolicyLookup = Callable[[str], BrokerPolicy]
 OnPlaced = Callable[[PromptPlaced], None]
@@ -48,11 +50,18 @@
     """Owner of one broker for each service.
 
     :param policy_for: returns the broker policy of a service.
+    :param pauses: servers that asked this instance for a pause.
     :param on_placed: called for each prompt that was placed on a server.
     """
 
-    def __init__(self, policy_for: PolicyLookup, on_placed: OnPlaced) -> None:
+    def __init__(
+        self,
+        policy_for: PolicyLookup,
+        pauses: ServerPauses,
+        on_placed: OnPlaced,
+    ) -> None:
         self._policy_for = policy_for
+        self._pauses = pauses
         self._on_placed = on_placed
         self._loop = asyncio.get_running_loop()
         self._brokers: dict[str, Broker] = {}
@@ -94,6 +103,16 @@
 
         :raises RefusedError: if no server is granted; the request did not run.
         """
+        while True:
+            self._refuse_if_all_paused(ticket)
+            paused = self._pauses.current(self._loop.time())
+            view = await self._acquire(replace(ticket, paused=paused))
+            if self._may_use(view):
+                return view
+            # The server was granted before it asked for a pause or left.
+            self.release(ticket, failed=False)
+
+    async def _acquire(self, ticket: Ticket) -> ServerView:
         acquisition = _Acquisition(ticket, self._loop.create_future())
         self._acquisitions[ticket.ticket_id] = acquisition
         self._apply(ticket.pool, TicketOpened(ticket))
@@ -103,6 +122,25 @@
             self.release(ticket, failed=False)
             raise
 
+    def _refuse_if_all_paused(self, ticket: Ticket) -> None:
+        names = [
+            view.name
+            for view in self._views.values()
+            if view.pool == ticket.pool and not view.leaving
+        ]
+        paused_s = self._pauses.first_end_s(names, self._loop.time())
+        if paused_s > ticket.max_wait_s:
+            raise RefusedError(
+                Code.servers_paused, retry_after_ms=int(paused_s * MS_PER_S)
+            )
+
+    def _may_use(self, view: ServerView) -> bool:
+        current = self._views.get(view.name)
+        is_listed = current is not None and not current.leaving
+        return is_listed and not self._pauses.is_paused(
+            view.name, self._loop.time()
+        )
+
     def complete_prefill(self, ticket: Ticket) -> None:
         """Record that the server has prefilled the ticket's prompt."""
         self._apply(ticket.pool, PrefillCompleted(ticket.ticket_id))
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Generator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from types import MappingProxyType
 
 from siskinpass.codes import MEANINGS, Code
@@ -31,6 +32,7 @@
 from siskinpass.request.inbound import (
     AnswerHead,
     SendContext,
+    ServerNotice,
     WireRequest,
 )
 from siskinpass.request.resend import (
@@ -67,6 +69,7 @@
     :param may_retry: spends one retry of a service's budget and returns whether
         there was one left.
     :param note_request: adds a request to the retry budget of its service.
+    :param on_notice: called with a server and what it says about itself.
     """
 
     table: Callable[[], RouteTable | None]
@@ -75,6 +78,7 @@
     metrics: Metrics
     may_retry: Callable[[str], bool]
     note_request: Callable[[str], None]
+    on_notice: Callable[[ServerView, ServerNotice], None]
     log: ComponentLog = field(default_factory=lambda: ComponentLog('forward'))
 
 
@@ -250,11 +254,18 @@
         try:
             connection = await self._context.backends.connect(
                 view.address,
-                fresh=False,
+                # A late copy of an earlier attempt's answer, which has the
+                # same request id, must not arrive as the answer of this one.
+                fresh=self._sends.total > 0,
             )
         except ConnectError as error:
             return AttemptResult(AttemptOutcome.unsent, cause=str(error))
-        receiver = AnswerReceiver(self._call.call_id, self._parser, self)
+        receiver = AnswerReceiver(
+            self._call.call_id,
+            self._parser,
+            self,
+            partial(self._context.on_notice, view),
+        )
         context = SendContext(
             server=view.name,
             remaining_s=plan.deadline_s - _now_s(),
--- a/src/siskinpass/process/fleet/loads.py
+++ b/src/siskinpass/process/fleet/loads.py
@@ -10,7 +10,12 @@
 import orjson
 
 from siskinpass.process.logs import ComponentLog
-from siskinpass.request.ticket import PromptPiece, PromptPlaced, ServerLoad
+from siskinpass.request.ticket import (
+    PromptPiece,
+    PromptPlaced,
+    ServerLoad,
+    ServerView,
+)
 
 SEND_INTERVAL_S = 0.1  # the interval given in docs/design/platform.md
 REPEAT_INTERVAL_S = 1.0  # resend unchanged loads: datagrams may be lost
@@ -69,6 +74,8 @@
     :param on_loads: called with the other instances' summed load, at most once
         per send interval and only after a report was received.
     :param on_placed: called for each prompt that another instance placed.
+    :param on_leaving: called for each server that announced its end to another
+        instance.
     """
 
     def __init__(
@@ -78,12 +85,14 @@
         peers: Callable[[], Iterable[tuple[str, int]]],
         on_loads: Callable[[Mapping[str, ServerLoad]], None],
         on_placed: Callable[[PromptPlaced], None],
+        on_leaving: Callable[[ServerView], object],
     ) -> None:
         self._own = own
         self._own_loads = own_loads
         self._peers = peers
         self._on_loads = on_loads
         self._on_placed = on_placed
+        self._on_leaving = on_leaving
         self._loop = asyncio.get_running_loop()
         self._peer_loads = PeerLoadTable()
         self._log = ComponentLog('loads')
@@ -109,7 +118,11 @@
 
     def _decode(self, message: Any) -> None:
         if isinstance(message, dict):
-            self._on_placed(_decode_placed(message))
+            leaving = message.get('leaving')
+            if leaving:
+                self._on_leaving(ServerView(**leaving))
+            else:
+                self._on_placed(_decode_placed(message))
             return
         name, sequence, rows = message
         loads = {
@@ -134,6 +147,10 @@
             })
         )
 
+    def send_leaving(self, server: ServerView) -> None:
+        """Tell the other instances that a server announced its end."""
+        self._send(orjson.dumps({'leaving': server}))
+
     async def run(self) -> None:
         """Send and apply reports at the send interval, until cancelled."""
         while True:
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -18,6 +18,7 @@
 from siskinpass.process.fleet.kept_parts import KeptPartsLoader
 from siskinpass.process.fleet.loads import LoadExchange
 from siskinpass.process.fleet.members import FleetMembers
+from siskinpass.process.fleet.notices import ServerNotices
 from siskinpass.process.fleet.policy import fleet_policy
 from siskinpass.process.fleet.settings import FleetSettings
 from siskinpass.process.fleet.state import StoredState
@@ -25,9 +26,10 @@
 from siskinpass.process.fleet.watch import KindWatch, watch_wait_s
 from siskinpass.process.logs import ComponentLog
 from siskinpass.process.metrics import Metrics
+from siskinpass.process.server_pauses import ServerPauses
 from siskinpass.request.inbound import WireRequest
 from siskinpass.request.retry_window import RetryWindow
-from siskinpass.request.ticket import PromptPlaced, ServerLoad
+from siskinpass.request.ticket import PromptPlaced, ServerLoad, ServerView
 
 BACKLOG = 1024  # connections waiting for accept, sized for bursts
 # Short against the limits that are checked on ticks: RECOVERY_GRACE_S of
@@ -70,7 +72,10 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._store = StoreClient(settings.store, self._count_store_call)
         self._members = FleetMembers(settings, self._store)
-        self._assigner = Assigner(self._policy_for, self._send_placement)
+        self._pauses = ServerPauses()
+        self._assigner = Assigner(
+            self._policy_for, self._pauses, self._send_placement
+        )
         self._state = StoredState(self._assigner.set_servers)
         self._backends = BackendPool(self._loop, BACKEND_POOL)
         self._forwarder = Forwarder(self._forward_context())
@@ -80,6 +85,7 @@
             partial(self._members.peer_sockets, LOADS_PORT_STEP),
             self._assigner.set_peer_loads,
             self._assigner.record_placement,
+            self._state.mark_leaving,
         )
 
     async def run(self) -> None:
@@ -130,6 +136,9 @@
             metrics=self._metrics,
             may_retry=budgets.spend,
             note_request=budgets.note_request,
+            on_notice=ServerNotices(
+                self._pauses, self._announce_leaving, self._metrics
+            ).receive,
         )
 
     def _watch_signals(self) -> None:
@@ -240,6 +249,10 @@
     def _send_placement(self, placed: PromptPlaced) -> None:
         self._loads.send_placement(placed)
 
+    def _announce_leaving(self, server: ServerView) -> None:
+        if self._state.mark_leaving(server):
+            self._loads.send_leaving(server)
+
     def _own_loads(self) -> dict[str, ServerLoad]:
         return self._assigner.loads
 
--- /dev/null
+++ b/src/siskinpass/process/fleet/notices.py
@@ -0,0 +1,58 @@
+"""Act on what backend servers say about themselves in their answers."""
+
+import asyncio
+from collections.abc import Callable
+
+from siskinpass.process.logs import ComponentLog
+from siskinpass.process.metrics import Metrics
+from siskinpass.process.server_pauses import ServerPauses
+from siskinpass.request.inbound import ServerNotice
+from siskinpass.request.ticket import ServerView
+
+
+class ServerNotices:
+    """Receiver of the servers' notices.
+
+    :param pauses: where a server's request for a pause is recorded.
+    :param on_leaving: called with each server that announces its end.
+    """
+
+    def __init__(
+        self,
+        pauses: ServerPauses,
+        on_leaving: Callable[[ServerView], None],
+        metrics: Metrics,
+    ) -> None:
+        self._pauses = pauses
+        self._on_leaving = on_leaving
+        self._metrics = metrics
+        self._loop = asyncio.get_running_loop()
+        self._log = ComponentLog('notices')
+
+    def receive(self, server: ServerView, notice: ServerNotice) -> None:
+        """Act on one notice; what cannot be read changes nothing.
+
+        :param server: as it was when the request was sent to it.
+        """
+        if notice.is_leaving:
+            self._metrics.noticed('leaving')
+            self._on_leaving(server)
+        if notice.pause_s:
+            self._start_pause(server, notice.pause_s)
+        if notice.unreadable:
+            self._metrics.noticed('unreadable')
+            self._log.warn(
+                'Ignored unreadable headers of an answer.',
+                server=server.name,
+                cause='; '.join(notice.unreadable),
+            )
+
+    def _start_pause(self, server: ServerView, pause_s: float) -> None:
+        self._metrics.noticed('pause')
+        used_s = self._pauses.pause(server.name, pause_s, self._loop.time())
+        self._log.note(
+            'A server asked for a pause.',
+            server=server.name,
+            asked_s=pause_s,
+            pause_s=used_s,
+        )
--- a/src/siskinpass/process/fleet/state.py
+++ b/src/siskinpass/process/fleet/state.py
@@ -70,9 +70,12 @@
             self._servers.mark_unreachable(now_s)
             return
         if isinstance(update, Listed):
-            self._servers.apply_listing(
-                self._decode_views(update.stored), now_s
+            apply = (
+                self._servers.apply_restored
+                if update.is_restored
+                else self._servers.apply_listing
             )
+            apply(self._decode_views(update.stored), now_s)
         elif isinstance(update, Changed):
             for stored in update.stored:
                 self._change(stored, now_s)
@@ -85,6 +88,17 @@
         if self._servers.expire_missing(self._loop.time()):
             self._on_servers(self._servers.views)
 
+    def mark_leaving(self, server: ServerView) -> bool:
+        """Stop using a server that announced its end in an answer.
+
+        :returns: whether it was not known to be leaving.
+        """
+        if not self._servers.mark_leaving(server.name, server.incarnation):
+            return False
+        self._log.note('A server announced that it leaves.', server=server.name)
+        self._on_servers(self._servers.views)
+        return True
+
     def _adopt(self, stored: StoredObject) -> None:
         try:
             table = decode_config(stored.body)
--- a/src/siskinpass/process/fleet/store_client.py
+++ b/src/siskinpass/process/fleet/store_client.py
@@ -2,10 +2,14 @@
 
 All calls to the store by a fleet's process go through it. A call without an
 answer closes its connection, since the connection cannot be used again.
+
+The store can be restored from an older copy, which begins a new era. An answer
+of an earlier era than the latest known one counts as a failure.
 """
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from siskinpass.codes import Code
@@ -14,11 +18,13 @@
 from siskinpass.exceptions import (
     BackendError,
     ConnectError,
+    FormatError,
     StoreConflictError,
     StoreError,
     StoreUnconfirmedError,
 )
 from siskinpass.platform import objects
+from siskinpass.process.logs import ComponentLog
 
 # Far above the store's stated response time of 4 ms, because the store can be
 # slow.
@@ -47,22 +53,32 @@
         self._address = address
         self._on_call = on_call
         self._pool = BackendPool(asyncio.get_running_loop(), STORE_POOL)
+        self._log = ComponentLog('store')
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Return the latest era of the store, 0 before any answer."""
+        return self._era
 
-    async def list_kind(self, kind: str) -> objects.Page:
+    async def list_kind(
+        self, kind: str, *, stale: bool = False
+    ) -> objects.Page:
         """Return all objects of a kind and the revision to watch from.
 
+        :param stale: whether the answer may be some seconds old.
         :raises StoreError: if the store does not answer or reports an error.
         """
         found: list[objects.StoredObject] = []
         after = ''
         while True:
-            path = objects.list_path(kind, after)
+            path = objects.list_path(kind, after, stale=stale)
             answer = await self._read('list', path, CALL_TIMEOUT_S)
             page = objects.decode_list(answer.body)
             found.extend(page.stored)
             after = page.next_name
             if not after:
-                return objects.Page(tuple(found), page.revision)
+                return objects.Page(tuple(found), page.revision, era=self._era)
 
     async def watch_kind(
         self,
@@ -80,7 +96,7 @@
         answer = await self._read('watch', path, wait_s + WATCH_MARGIN_S)
         if answer.status == objects.STATUS_GONE:
             return None
-        return objects.decode_watch(answer.body)
+        return replace(objects.decode_watch(answer.body), era=self._era)
 
     async def create(self, kind: str, name: str, body: Any) -> None:
         """Create an object.
@@ -151,8 +167,30 @@
             failure = StoreUnconfirmedError if is_unconfirmed else StoreError
             raise failure(Code.store_down, str(error)) from error
         self._on_call(call, str(answer.status))
+        self._check_era(answer)
         return answer
 
+    def _check_era(self, answer: FetchedAnswer) -> None:
+        try:
+            era = objects.decode_era(answer.headers)
+        except FormatError as error:
+            self._on_call('era', Code.document_wrong.name)
+            self._log.warn('Ignored an unreadable era.', cause=str(error))
+            return
+        if era is None:
+            return
+        if era < self._era:
+            raise StoreError(
+                Code.store_down, f'answer of era {era} after era {self._era}'
+            )
+        if self._era and era > self._era:
+            self._log.warn(
+                'The store was restored from a copy.',
+                era=era,
+                previous=self._era,
+            )
+        self._era = era
+
     def _encode(self, method: str, path: str, body: bytes) -> bytes:
         lines = [f'{method} {path} HTTP/1.1', f'Host: {self._address}']
         if body:
--- a/src/siskinpass/process/fleet/watch.py
+++ b/src/siskinpass/process/fleet/watch.py
@@ -21,9 +21,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Listed:
-    """Current list of all objects of the kind."""
+    """Current list of all objects of the kind.
+
+    :param is_restored: whether it is the first list after the store was
+        restored from an older copy.
+    """
 
     stored: tuple[StoredObject, ...]
+    is_restored: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +77,7 @@
         self._wait_s = wait_s
         self._log = ComponentLog('store')
         self._revision: int | None = None
+        self._era: int | None = None
         self._failures = 0
 
     async def run(self) -> None:
@@ -87,16 +93,14 @@
 
     async def _step(self) -> None:
         if self._revision is None:
-            page = await self._store.list_kind(self._kind)
-            self._revision = page.revision
-            self._on_update(Listed(page.stored))
+            await self._list()
             return
         page = await self._store.watch_kind(
             self._kind,
             self._revision,
             self._wait_s,
         )
-        if page is None:
+        if page is None or page.era != self._era:
             self._log.note(
                 'The store no longer has the history; listing again.',
                 kind=self._kind,
@@ -105,6 +109,12 @@
             return
         self._apply_page(page)
 
+    async def _list(self) -> None:
+        page = await self._store.list_kind(self._kind)
+        is_restored = self._era is not None and page.era > self._era
+        self._revision, self._era = page.revision, page.era
+        self._on_update(Listed(page.stored, is_restored))
+
     def _apply_page(self, page: Page) -> None:
         self._revision = page.revision
         if page.stored:
--- a/src/siskinpass/process/metrics.py
+++ b/src/siskinpass/process/metrics.py
@@ -51,6 +51,10 @@
             'siskinpass_store_calls_total',
             'Calls to the object store, by kind.',
         )
+        self._notices = self._counter(
+            'siskinpass_server_notices_total',
+            'Notices in the answers of backend servers, by kind.',
+        )
         self._tokens = self._counter(
             'siskinpass_tokens_total',
             'Tokens passed on, by node of the tree.',
@@ -119,6 +123,10 @@
         """Count one call to the object store by its kind."""
         self._store_calls.inc({'kind': kind})
 
+    def noticed(self, kind: str) -> None:
+        """Count one notice of a backend server by its kind."""
+        self._notices.inc({'kind': kind})
+
     def set_state(self, name: str, level: float) -> None:
         """Set the gauge of one state of the process."""
         self._gauges.set({'name': name}, level)
--- a/src/siskinpass/process/placement.py
+++ b/src/siskinpass/process/placement.py
@@ -307,7 +307,9 @@
         best_cost = float('inf')
         holder = self._prefixes.get(ticket.prefix) if ticket.prefix else None
         for server in self._servers.values():
-            if server.free_slots(now_s) <= 0:
+            if server.free_slots(now_s) <= 0 or ticket.excludes(
+                server.view.name, now_s
+            ):
                 continue
             if self._at_random:
                 cost = _random_cost(ticket, server)
--- a/src/siskinpass/request/inbound.py
+++ b/src/siskinpass/request/inbound.py
@@ -129,6 +129,28 @@
     last_event_id: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class ServerNotice:
+    """What a backend server says about itself in the head of a response.
+
+    :param is_leaving: whether the server stops soon and should get no new
+        requests.
+    :param pause_s: time for which the server wants no requests from this
+        instance, in seconds; 0 for none.
+    :param unreadable: headers whose values could not be read; they change
+        nothing.
+    """
+
+    is_leaving: bool = False
+    pause_s: float = 0.0
+    unreadable: tuple[str, ...] = ()
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether the server says nothing about itself."""
+        return not (self.is_leaving or self.pause_s or self.unreadable)
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
     """Decoded head of a backend server's response.
@@ -141,6 +163,7 @@
     :param idle_s: how long the server keeps an idle connection open, 0 where
         it does not say.
     :param headers: headers to pass on to the caller.
+    :param notice: what the server says about itself.
     """
 
     status: int
@@ -150,6 +173,7 @@
     is_encoded: bool = False
     idle_s: float = 0.0
     headers: tuple[Header, ...] = ()
+    notice: ServerNotice = field(default_factory=ServerNotice)
 
     @property
     def is_success(self) -> bool:
--- a/src/siskinpass/request/resend.py
+++ b/src/siskinpass/request/resend.py
@@ -63,6 +63,11 @@
     run: int = 0
     not_run: int = 0
 
+    @property
+    def total(self) -> int:
+        """Return the number of all sends."""
+        return self.run + self.not_run
+
 
 def decide_next_step(
     route: Route, ending: AttemptOutcome, sends: SendCounts
--- a/src/siskinpass/request/ticket.py
+++ b/src/siskinpass/request/ticket.py
@@ -48,6 +48,8 @@
     :param resumed: whether some tokens were already delivered.
     :param avoid: backend server that just failed for this request, empty for
         none.
+    :param paused: backend servers that asked this instance for a pause, each
+        with its end on the clock; they are never chosen before it.
     :param token_s: target for the mean time between tokens, 0 for none.
     :param pieces: consecutive parts of the prompt; other prompts can share a
         part only together with all the parts before it. The last one belongs
@@ -70,6 +72,7 @@
     pausable: bool = True
     resumed: bool = False
     avoid: str = ''
+    paused: tuple[tuple[str, float], ...] = ()
     token_s: float = 0.0
     pieces: tuple[PromptPiece, ...] = ()
     tokens_in: int = 0
@@ -85,6 +88,12 @@
         """Return the time at which the request is refused if still queued."""
         return self.opened_s + self.max_wait_s
 
+    def excludes(self, server: str, now_s: float) -> bool:
+        """Return whether a server must not get the request now."""
+        return any(
+            name == server and now_s < until_s for name, until_s in self.paused
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class ServerView:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,7 +7,7 @@
 import asyncio
 import itertools
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import orjson
@@ -21,6 +21,9 @@
 
 PREFIX = '/-/objects/'
 FIRST_REVISION = 10
+NOISE_BYTES = 65_536  # of each piece of an endless body
+TRICKLE_S = 0.1
+MAX_TRICKLED_BYTES = 600
 
 
 class ObjectStore:
@@ -31,6 +34,7 @@
     :ivar is_down: whether all calls end without a response.
     :ivar stalls_watches: whether watches get no response once there is a
         change to report; those without one still time out as usual.
+    :ivar era: number of restores, plus one; stated in each answer.
     """
 
     def __init__(self) -> None:
@@ -42,6 +46,22 @@
         self.history_from = 0
         self.is_down = False
         self.stalls_watches = False
+        self.era: int | str = 1
+
+    def copy(self) -> 'StoreCopy':
+        """Return a copy of all objects, to restore later."""
+        return StoreCopy(dict(self._objects), self._revision)
+
+    async def restore(self, stored: 'StoreCopy') -> None:
+        """Go back to a copy; later changes and revisions are gone."""
+        self.era = int(self.era) + 1
+        self._objects = dict(stored.objects)
+        self._revision = stored.revision
+        self._revisions = itertools.count(stored.revision + 1)
+        self._changes = []
+        self.history_from = stored.revision
+        async with self._changed:
+            self._changed.notify_all()
 
     async def put(self, kind: str, name: str, spec: Any) -> None:
         """Write an object for an operator or a backend server."""
@@ -73,6 +93,11 @@
         """
         if self.is_down:
             raise HangUpError
+        response = await self._respond(request)
+        headers = {**response.headers, 'Store-Era': str(self.era)}
+        return replace(response, headers=headers)
+
+    async def _respond(self, request: Request) -> Response:
         kind, _, name = request.path.removeprefix(PREFIX).partition('/')
         if request.method == 'GET' and 'watch' in request.query:
             return await self._watch(kind, request)
@@ -108,12 +133,17 @@
     async def _watch(self, kind: str, request: Request) -> Response:
         since = int(request.query['watch'])
         wait_s = int(request.query['wait-ms']) / 1000
-        if since < self.history_from:
+        era = self.era
+        if not self.history_from <= since <= self._revision:
             return json_response({}, 410)
         try:
             async with asyncio.timeout(wait_s), self._changed:
                 await self._changed.wait_for(
-                    lambda: self.is_down or self._changes_since(kind, since),
+                    lambda: (
+                        self.is_down
+                        or era != self.era
+                        or self._changes_since(kind, since)
+                    ),
                 )
         except TimeoutError:
             return self._events_response([])
@@ -121,6 +151,8 @@
             await asyncio.Event().wait()
         if self.is_down:
             raise HangUpError
+        if era != self.era:
+            return json_response({}, 410)
         return self._events_response(self._changes_since(kind, since))
 
     def _changes_since(self, kind: str, revision: int) -> list[dict[str, Any]]:
@@ -153,6 +185,14 @@
             self._changed.notify_all()
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """All objects of a store at one revision."""
+
+    objects: dict[tuple[str, str], dict[str, Any]]
+    revision: int
+
+
 @dataclass(slots=True)
 class Faults:
     """Number of coming requests on which a backend server has each fault.
@@ -165,6 +205,10 @@
     :param silent: requests run and never answered.
     :param bare_refusals: requests run and answered 503 without the header that
         says whether they were run.
+    :param pauses: requests not run and answered 503 with a time for which the
+        server wants no more of them.
+    :param endless: requests run and answered with a body without end.
+    :param trickles: streams that send one byte at a time, never a whole event.
     """
 
     declines: int = 0
@@ -172,6 +216,9 @@
     cuts: int = 0
     silent: int = 0
     bare_refusals: int = 0
+    pauses: int = 0
+    endless: int = 0
+    trickles: int = 0
 
 
 @dataclass(slots=True)
@@ -181,6 +228,10 @@
     :param gap_s: pause before each event of a stream.
     :param events: number of events of a stream.
     :param runs: requests run so far.
+    :param arrivals: ids of the requests that arrived, run or not.
+    :param pause: time to state with a pause, in seconds.
+    :param notices: headers that each answer carries.
+    :param sent_bytes: bytes of endless bodies sent so far.
     """
 
     name: str
@@ -188,16 +239,28 @@
     events: int = 8
     faults: Faults = field(default_factory=Faults)
     runs: list[Request] = field(default_factory=list)
+    arrivals: list[str] = field(default_factory=list)
+    pause: str = '2.5'
+    notices: dict[str, str] = field(default_factory=dict)
+    sent_bytes: int = 0
 
     async def __call__(self, request: Request) -> Response:
         """Return the response to a request.
 
         :raises HangUpError: if a fault closes the connection.
         """
+        response = await self._respond(request)
+        return replace(response, headers={**response.headers, **self.notices})
+
+    async def _respond(self, request: Request) -> Response:
+        self.arrivals.append(request.headers.get('x-attempt-id', ''))
         if request.headers.get('x-expect-instance') != self.name:
             return Response(421)
-        if self._consume_fault('declines'):
-            return Response(503, headers={'X-Not-Executed': '1'})
+        refusal = {'X-Not-Executed': '1'}
+        if self._consume_fault('pauses'):
+            refusal['Retry-After'] = self.pause
+        if 'Retry-After' in refusal or self._consume_fault('declines'):
+            return Response(503, headers=refusal)
         self.runs.append(request)
         if self._consume_fault('hang_ups'):
             raise HangUpError
@@ -209,6 +272,8 @@
         }
         if self._consume_fault('bare_refusals'):
             return Response(503, headers=headers)
+        if self._consume_fault('endless'):
+            return Response(headers=headers, stream=self._noise())
         if 'stream' in request.path:
             after = int(request.headers.get('last-event-id', '0'))
             return Response(headers=headers, stream=self._stream(after))
@@ -220,8 +285,18 @@
         setattr(self.faults, fault, max(0, remaining - 1))
         return remaining > 0
 
+    async def _noise(self) -> AsyncIterator[bytes]:
+        while True:
+            self.sent_bytes += NOISE_BYTES
+            yield bytes(NOISE_BYTES)
+            await asyncio.sleep(0)
+
     async def _stream(self, after: int) -> AsyncIterator[bytes]:
         is_cut = self._consume_fault('cuts')
+        while self._consume_fault('trickles'):
+            for _ in range(MAX_TRICKLED_BYTES):
+                yield b':'
+                await asyncio.sleep(TRICKLE_S)
         for number in range(after + 1, self.events + 1):
             await asyncio.sleep(self.gap_s)
             if is_cut and number == after + 4:
--- a/tests/test_assigner.py
+++ b/tests/test_assigner.py
@@ -8,6 +8,7 @@
 from siskinpass.process.fleet.policy import fleet_policy
 from siskinpass.process.fleet.state import StoredState
 from siskinpass.process.fleet.watch import Listed
+from siskinpass.process.server_pauses import ServerPauses
 from siskinpass.request.ticket import PromptPiece, PromptPlaced
 
 PART = PromptPiece(7, 1000)
@@ -34,7 +35,9 @@
     """Assigner with the stored state that it follows."""
 
     def __init__(self):
-        self.assigner = Assigner(self._policy_for, lambda update: None)
+        self.assigner = Assigner(
+            self._policy_for, ServerPauses(), lambda update: None
+        )
         self.state = StoredState(self.assigner.set_servers)
 
     def _policy_for(self, pool):
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -7,7 +7,12 @@
 import pytest
 import uvloop
 
-from siskinpass.connection.backend import AnswerSink, BackendPool
+from siskinpass.connection.backend import (
+    MAX_UNUSED_BYTES,
+    AnswerSink,
+    BackendPool,
+)
+from siskinpass.exceptions import ConnectError
 
 HEAD = b'HTTP/1.1 200 OK\r\nX-Any: 1\r\n'
 UNFRAMED = HEAD + b'\r\nhalf of the '
@@ -34,7 +39,8 @@
         self.ended.set_result('whole')
 
     def receive_failure(self, error):
-        self.ended.set_result('cut')
+        is_unsent = isinstance(error, ConnectError)
+        self.ended.set_result('unsent' if is_unsent else 'cut')
 
 
 def answer_once(listener, pieces, *, reset):
@@ -91,6 +97,45 @@
         found = asyncio.run(fetch([late + SIZED], reset=False, skip=1))
         assert found == ('whole', b'body')
 
+    @pytest.mark.parametrize('run', [asyncio.run, uvloop.run])
+    @pytest.mark.parametrize(
+        'noise',
+        [
+            [HEAD + b'X-Noise: ' + bytes([120]) * MAX_UNUSED_BYTES],
+            [b'HTTP/1.1 100 Continue\r\n\r\n' * 20_000],
+            [HEAD + b'Content-Length: 9999999\r\n\r\n', b'x' * 600_000],
+        ],
+    )
+    def test_bytes_that_belong_to_no_answer_are_bounded(self, run, noise):
+        """An endless head, interim response or foreign body ends the request.
+
+        Guards against memory and a connection that grow until the caller
+        closes.
+        """
+        assert run(fetch(noise, reset=False, skip=1)) == ('cut', b'')
+
+    @pytest.mark.parametrize('run', [asyncio.run, uvloop.run])
+    def test_closed_connection_is_not_written_to(self, run):
+        """A connection that was closed since it was opened sent nothing.
+
+        uvloop raises an error for a closed transport, which would fail the
+        request's task.
+        """
+
+        async def send_after_close():
+            loop = asyncio.get_running_loop()
+            with socket.create_server(('127.0.0.1', 0)) as listener:
+                host, port = listener.getsockname()
+                pool = BackendPool(loop)
+                connection = await pool.connect(f'{host}:{port}', fresh=True)
+                connection.cancel()
+                collector = Collector()
+                connection.send(b'GET / HTTP/1.1\r\n\r\n', collector)
+                connection.set_reading(on=True)
+                return await collector.ended
+
+        assert run(send_after_close()) == 'unsent'
+
     def test_drops_unsolicited_answer(self):
         """A second response without a request is discarded."""
         found = asyncio.run(fetch([SIZED + SIZED], reset=False))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -251,6 +251,47 @@
 
         run_scenario(scenario)
 
+    def test_restored_store_brings_nothing_old_back(self):
+        """A withdrawn key and a server that left are not used again.
+
+        A version written after the restore comes into force, although its
+        revision was given out before.
+        """
+
+        async def scenario(fleet):
+            copy = fleet.store.copy()
+            withdrawn = config(5) | {
+                'tenants': [{'name': 'w', 'api-keys': ['key-2']}],
+            }
+            await fleet.store.put('config', 'main', withdrawn)
+            await fleet.store.remove('servers', 'i-0')
+            await wait_until(
+                lambda: _answers_with(fleet, '/once/x', 401), 'version 5'
+            )
+            await fleet.store.restore(copy)
+            await wait_until(lambda: b'restored' in fleet.log, 'the new era')
+            assert await _answers_with(fleet, '/once/x', 401)
+            await fleet.store.put('config', 'main', config(6))
+            await wait_until(
+                lambda: _answers_with(fleet, '/once/x', 200), 'version 6'
+            )
+            assert await _gets_none(fleet, 0)
+
+        run_scenario(scenario)
+
+    def test_unreadable_era_changes_nothing(self):
+        """Versions and servers are read as before."""
+
+        async def scenario(fleet):
+            fleet.store.era = 'x'
+            newer = (*ROUTES, route('/new/', 'unsafe'))
+            await fleet.store.put('config', 'main', config(5, newer))
+            await wait_until(
+                lambda: _answers_with(fleet, '/new/x', 200), 'version 5'
+            )
+
+        run_scenario(scenario)
+
     def test_leaving_server_gets_nothing_new(self):
         """A draining server gets no new requests.
 
