Bound decisions under overload and the cost of idle and starting instances

Cause: with 56 engines each waiting ticket costs a look at every engine, and each of hundreds of events a second tried up to 64 of them a tier; idle instances woke a hundred times a second; while a fleet started each instance asked three seeds ten times a second for the whole list of members, over links of 10 Mbit/s. Change: a budget of looks between clock ticks, a bound a pass, and turns for the tickets behind the first; ticks only while a ticket waits; load reports rarely while nothing runs; one seed asked at a time, lists compressed.

--- a/src/siskinpass/process/broker.py
+++ b/src/siskinpass/process/broker.py
@@ -14,6 +14,7 @@
 from siskinpass.process.demand import Demand
 from siskinpass.process.grants import ActiveGrants
 from siskinpass.process.limits import LimitPolicy
+from siskinpass.process.look_budget import LookBudget
 from siskinpass.process.placement import Chooser, ServerTable
 from siskinpass.process.preemption import choose_moves, choose_pauses
 from siskinpass.process.throughput import GrantRate
@@ -40,6 +41,10 @@
 # Tickets tried per tier in one pass, so that a ticket that no server can take
 # now does not block the tickets behind it.
 MAX_CANDIDATES = 64
+# Servers looked at for the waiting tickets of one tier in one pass. It bounds
+# the time of a pass under overload, when no server can take any of them.
+MAX_LOOKS = 600
+MIN_TRIES = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +68,10 @@
     :param kv_capacity_tokens: KV cache capacity of each engine in tokens.
     :param probe_after: consecutive failures after which a server gets only
         one request at a time.
+    :param waits_for_ticks: whether waiting tickets are tried on clock ticks
+        only once the :class:`LookBudget` is spent, and a new one at once if
+        none waits at or above its tier. The time for decisions then does not
+        grow with the number of events.
     """
 
     limit: LimitPolicy = field(default_factory=LimitPolicy)
@@ -75,6 +84,7 @@
     moves: bool = True
     kv_capacity_tokens: int = 0
     probe_after: int = 1
+    waits_for_ticks: bool = False
 
 
 class Broker:
@@ -95,6 +105,8 @@
         self._rate = GrantRate()
         self._commands: list[Command] = []
         self._now_s = 0.0
+        self._passes = 0
+        self._looks = LookBudget()
 
     @property
     def waiting(self) -> int:
@@ -129,9 +141,13 @@
         :param now_s: as in :meth:`apply`.
         """
         self._now_s = max(self._now_s, now_s)
-        for event in events:
+        given = tuple(events)
+        for event in given:
             self._handle_event(event)
-        self._dispatch()
+        if self._is_pass_due(given):
+            self._dispatch()
+        else:
+            self._try_opened(given)
         commands, self._commands = self._commands, []
         return commands
 
@@ -236,6 +252,23 @@
         for tier in self._waiting.tiers:
             self._dispatch_tier(tier)
 
+    def _is_pass_due(self, events: Iterable[Event]) -> bool:
+        if not self._policy.waits_for_ticks:
+            return True
+        looks = len(self._waiting) * self._table.size
+        return self._looks.take(looks, self._now_s) or any(
+            isinstance(event, ClockTicked) for event in events
+        )
+
+    def _try_opened(self, events: Iterable[Event]) -> None:
+        """Try the new tickets that no waiting one goes before."""
+        for event in events:
+            if isinstance(event, TicketOpened):
+                ticket = event.ticket
+                ahead = self._waiting.count_at_or_above(ticket.tier)
+                if ahead == 1 and ticket.ticket_id in self._waiting:
+                    self._grant(ticket, owed=False)
+
     def _grant_owed(self) -> bool:
         tier = self._waiting.tier_with_credit()
         if tier is None:
@@ -245,13 +278,31 @@
 
     def _dispatch_tier(self, tier: int) -> None:
         budget = self._free_slots_for(tier)
-        for ticket in self._waiting.next_tickets(tier, MAX_CANDIDATES):
-            if budget <= 0:
+        tries_left = max(MIN_TRIES, MAX_LOOKS // max(1, self._table.size))
+        for ticket in self._candidates(tier, tries_left):
+            if budget <= 0 or not tries_left:
                 break
-            budget -= self._grant(ticket, owed=False)
+            is_granted = self._grant(ticket, owed=False)
+            budget -= is_granted
+            tries_left -= not is_granted
         if self._policy.pauses and tier in self._waiting.tiers:
             self._pause_for(tier)
 
+    def _candidates(self, tier: int, tries: int) -> list[Ticket]:
+        """Return the waiting tickets of a tier to try in this pass.
+
+        If not all can be tried, those behind the first few take turns, so that
+        a ticket whose server is free does not wait for those before it.
+        """
+        tickets = self._waiting.next_tickets(tier, MAX_CANDIDATES)
+        if len(tickets) <= tries:
+            return tickets
+        self._passes += 1
+        first = tries // 2
+        others = tickets[first:]
+        start = self._passes * (tries - first) % len(others)
+        return [*tickets[:first], *others[start:], *others[:start]]
+
     def _free_slots_for(self, tier: int) -> int:
         free = self._table.free_slots(self._now_s)
         return free - self._demand.reserved_above(
--- a/src/siskinpass/process/codec.py
+++ b/src/siskinpass/process/codec.py
@@ -1,5 +1,7 @@
 """Convert events, commands and heartbeats to protobuf messages and back."""
 
+import zlib
+from collections.abc import Iterable
 from functools import singledispatch
 
 from siskinpass.codes import Code
@@ -185,6 +187,18 @@
     )
 
 
+def pack_members(members: Iterable[Member]) -> bytes:
+    """Encode many members, which have most of their text in common."""
+    encoded = pb.MemberList(members=map(encode_member, members))
+    return zlib.compress(encoded.SerializeToString())
+
+
+def unpack_members(packed: bytes) -> list[Member]:
+    """Decode the result of :func:`pack_members`."""
+    encoded = pb.MemberList.FromString(zlib.decompress(packed))
+    return list(map(decode_member, encoded.members))
+
+
 def encode_server(view: ServerView) -> pb.ServerMessage:
     """Encode one backend server."""
     return pb.ServerMessage(
--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -67,6 +67,7 @@
         self._brokers: dict[str, Broker] = {}
         self._acquisitions: dict[str, _Acquisition] = {}
         self._views: dict[str, ServerView] = {}
+        self._opened = asyncio.Event()
 
     @property
     def servers(self) -> Iterable[ServerView]:
@@ -116,6 +117,7 @@
         acquisition = _Acquisition(ticket, self._loop.create_future())
         self._acquisitions[ticket.ticket_id] = acquisition
         self._apply(ticket.pool, TicketOpened(ticket))
+        self._opened.set()
         try:
             return await acquisition.granted
         except asyncio.CancelledError:
@@ -203,11 +205,18 @@
         return found
 
     async def run(self) -> None:
-        """Advance the clocks of the brokers until cancelled."""
+        """Advance the clocks of the brokers until cancelled.
+
+        They advance only while a ticket waits, as most instances of a large
+        fleet are idle.
+        """
         while True:
-            await asyncio.sleep(TICK_S)
-            for pool in tuple(self._brokers):
-                self._apply(pool, ClockTicked())
+            await self._opened.wait()
+            self._opened.clear()
+            while self.waiting:
+                await asyncio.sleep(TICK_S)
+                for pool in tuple(self._brokers):
+                    self._apply(pool, ClockTicked())
 
     def _apply(self, pool: str, event: Event) -> None:
         for command in self.broker(pool).apply(event, self._loop.time()):
--- a/src/siskinpass/process/fleet/loads.py
+++ b/src/siskinpass/process/fleet/loads.py
@@ -18,6 +18,8 @@
 )
 
 SEND_INTERVAL_S = 0.1  # the interval given in docs/design/platform.md
+# Used while no instance reports any load to this one.
+IDLE_INTERVAL_S = 0.5
 REPEAT_INTERVAL_S = 1.0  # resend unchanged loads: datagrams may be lost
 NS_PER_MS = 1_000_000
 EXPIRY_S = 3 * REPEAT_INTERVAL_S
@@ -56,6 +58,11 @@
             if now_s - report.received_s > EXPIRY_S:
                 self._reports.pop(name)
 
+    @property
+    def is_loaded(self) -> bool:
+        """Return whether any instance has reported load."""
+        return any(report.loads for report in self._reports.values())
+
     def total(self) -> dict[str, ServerLoad]:
         """Return the sum of all reports by server."""
         totals: dict[str, ServerLoad] = {}
@@ -154,7 +161,8 @@
     async def run(self) -> None:
         """Send and apply reports at the send interval, until cancelled."""
         while True:
-            await asyncio.sleep(SEND_INTERVAL_S)
+            is_idle = not (self._sent_loads or self._peer_loads.is_loaded)
+            await asyncio.sleep(IDLE_INTERVAL_S if is_idle else SEND_INTERVAL_S)
             self._send_report()
             self._peer_loads.expire(self._loop.time())
             if self._has_updates:
--- a/src/siskinpass/process/fleet/members.py
+++ b/src/siskinpass/process/fleet/members.py
@@ -20,7 +20,6 @@
 from siskinpass.process.gossip import Gossip
 from siskinpass.process.logs import ComponentLog
 from siskinpass.process.membership import (
-    DEAD,
     Member,
     Membership,
     MembershipPolicy,
@@ -173,19 +172,25 @@
     async def _meet_seeds(self) -> bool:
         """Ask the seeds until one answers; return whether one did.
 
-        On the first start they are asked for longer, as their own lists are
-        still growing.
+        On the first start one is asked again at the end, as their own lists
+        are still growing.
         """
+        seeds = [
+            seed
+            for seed in self._settings.seeds
+            if seed != self._settings.peers
+        ]
         is_first = self._settings.is_first_start
         limit_s = FIRST_JOIN_S if is_first else SEEDS_S
         end_s = self._loop.time() + limit_s
-        seeds = self._settings.seeds
         has_met = False
-        while seeds and self._loop.time() < end_s:
-            has_met = await self._meet_any(seeds) or has_met
-            if has_met and not is_first:
-                break
-            await asyncio.sleep(JOIN_RETRY_S)
+        while seeds and not has_met and self._loop.time() < end_s:
+            # A seed may be a small machine, which all others ask at once.
+            has_met = await self._meet(random.choice(seeds))
+            await asyncio.sleep(0 if has_met else JOIN_RETRY_S)
+        if has_met and is_first:
+            await asyncio.sleep(end_s - self._loop.time())
+            await self._meet(random.choice(seeds))
         return has_met
 
     async def _try_register(self) -> bool:
@@ -262,11 +267,7 @@
             return False
         finally:
             channel.close()
-        self.gossip.merge(
-            member
-            for member in map(codec.decode_member, reply.members)
-            if member.state != DEAD
-        )
+        self.gossip.merge(codec.unpack_members(reply.members))
         return True
 
     def _update_live(self) -> None:
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -37,7 +37,7 @@
 BACKLOG = 1024  # connections waiting for accept, sized for bursts
 # Short against the limits that are checked on ticks: RECOVERY_GRACE_S of
 # ``known_servers`` and the end of the grace time.
-TICK_S = 0.1
+TICK_S = 0.2
 LOADS_PORT_STEP = 2  # offset of the load port from the heartbeat port
 # Idle connections to backend servers are kept long, because opening new ones is
 # expensive; a server's Keep-Alive header shortens the time.
--- a/src/siskinpass/process/fleet/peers.py
+++ b/src/siskinpass/process/fleet/peers.py
@@ -8,7 +8,7 @@
 from grpclib.server import Stream
 
 from siskinpass.process import peer_pb2 as pb
-from siskinpass.process.codec import decode_member, encode_member
+from siskinpass.process.codec import decode_member, pack_members
 from siskinpass.process.membership import Member
 from siskinpass.process.peer_grpc import FleetPeerBase
 from siskinpass.process.peers import KEY_HEADER
@@ -41,7 +41,7 @@
         request = await stream.recv_message()
         members = self._meet(decode_member(request.sender))
         await stream.send_message(
-            pb.MembersReply(members=map(encode_member, members))
+            pb.MembersReply(members=pack_members(members))
         )
 
     async def Follow(
--- a/src/siskinpass/process/fleet/policy.py
+++ b/src/siskinpass/process/fleet/policy.py
@@ -24,4 +24,5 @@
         moves=False,
         probe_after=PROBE_AFTER,
         kv_capacity_tokens=kv_capacity_tokens,
+        waits_for_ticks=True,
     )
--- a/src/siskinpass/process/gossip.py
+++ b/src/siskinpass/process/gossip.py
@@ -21,7 +21,7 @@
     TimePassed,
 )
 
-TICK_S = 0.05
+TICK_S = 0.1
 MAC_BYTES = 16
 MAX_DATAGRAM_BYTES = 1400
 
--- a/src/siskinpass/process/placement.py
+++ b/src/siskinpass/process/placement.py
@@ -196,6 +196,11 @@
         """Return the servers in the order in which they were first listed."""
         return self._servers.values()
 
+    @property
+    def size(self) -> int:
+        """Return the number of servers."""
+        return len(self._servers)
+
     @property
     def slots(self) -> int:
         """Return the total slots of the servers that are not leaving."""
