Wake instances of a large fleet more rarely, and let readers end their duty

Change: probes every 0.5 s in groups above 24, ticks by the probe interval, heartbeats of the feed every 0.7 s; followers leave an instance that is not a reader; changes of many members are logged with a count.

--- a/src/siskinpass/process/fleet/feed.py
+++ b/src/siskinpass/process/fleet/feed.py
@@ -17,7 +17,7 @@
 from siskinpass.process.fleet.state import RelayedState
 from siskinpass.request.ticket import ServerView
 
-HEARTBEAT_S = 0.4
+HEARTBEAT_S = 0.7
 # Updates that wait for a slow follower. One that is behind by more has to
 # follow anew.
 MAX_WAITING = 256
--- a/src/siskinpass/process/fleet/loads.py
+++ b/src/siskinpass/process/fleet/loads.py
@@ -19,7 +19,7 @@
 
 SEND_INTERVAL_S = 0.1  # the interval given in docs/design/platform.md
 # Used while no instance reports any load to this one.
-IDLE_INTERVAL_S = 0.5
+IDLE_INTERVAL_S = 1.0
 REPEAT_INTERVAL_S = 1.0  # resend unchanged loads: datagrams may be lost
 NS_PER_MS = 1_000_000
 EXPIRY_S = 3 * REPEAT_INTERVAL_S
@@ -33,11 +33,13 @@
         restarts.
     :param received_s: when it was received, on the event loop's clock.
     :param loads: load of the instance by server.
+    :param sender: ``(ip, port)`` that it came from.
     """
 
     sequence: int
     received_s: float
     loads: Mapping[str, ServerLoad]
+    sender: tuple[str, int] = ('', 0)
 
 
 class PeerLoadTable:
@@ -63,6 +65,13 @@
         """Return whether any instance has reported load."""
         return any(report.loads for report in self._reports.values())
 
+    @property
+    def senders(self) -> set[tuple[str, int]]:
+        """Return the sockets of the instances that have reported load."""
+        return {
+            report.sender for report in self._reports.values() if report.loads
+        }
+
     def total(self) -> dict[str, ServerLoad]:
         """Return the sum of all reports by server."""
         totals: dict[str, ServerLoad] = {}
@@ -77,7 +86,8 @@
 
     :param own: name of this instance.
     :param own_loads: returns this instance's load by server.
-    :param peers: returns the ``(ip, port)`` of the other instances.
+    :param peers: returns the ``(ip, port)`` of the instances that get reports
+        in any case; instances that report load get them too.
     :param on_loads: called with the other instances' summed load, at most once
         per send interval and only after a report was received.
     :param on_placed: called for each prompt that another instance placed.
@@ -114,16 +124,16 @@
         """Keep the transport for sending."""
         self._transport = transport
 
-    def datagram_received(self, datagram: bytes, addr: object) -> None:
+    def datagram_received(self, datagram: bytes, addr: tuple[str, int]) -> None:
         """Process one datagram; an unreadable one is logged and dropped."""
         try:
-            self._decode(orjson.loads(datagram))
+            self._decode(orjson.loads(datagram), addr)
         except (ValueError, TypeError, KeyError) as error:
             self._log.warn(
                 'Dropped an unreadable load report.', cause=str(error)
             )
 
-    def _decode(self, message: Any) -> None:
+    def _decode(self, message: Any, sender: tuple[str, int]) -> None:
         if isinstance(message, dict):
             leaving = message.get('leaving')
             if leaving:
@@ -137,7 +147,7 @@
             for server, running, tight, unread in rows
         }
         self._peer_loads.update(
-            name, LoadReport(sequence, self._loop.time(), loads)
+            name, LoadReport(sequence, self._loop.time(), loads, sender)
         )
         self._has_updates = True
 
@@ -187,7 +197,8 @@
         self._send(orjson.dumps((self._own, self._sequence, rows)))
 
     def _send(self, datagram: bytes) -> None:
-        for address in self._peers():
+        addresses = self._peer_loads.senders.union(self._peers())
+        for address in addresses:
             self._transport.sendto(datagram, address)
 
 
--- a/src/siskinpass/process/fleet/members.py
+++ b/src/siskinpass/process/fleet/members.py
@@ -49,7 +49,7 @@
 REFRESH_DELAYS_S = (0.3, 0.7, 1.5)
 REFRESH_S = 15.0
 # An instance that hears no heartbeat for this long is cut off from the others:
-# it probes five of them a second.
+# it probes at least two of them a second.
 ISOLATED_S = 1.5
 
 
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -35,9 +35,9 @@
 from siskinpass.request.ticket import PromptPlaced, ServerLoad, ServerView
 
 BACKLOG = 1024  # connections waiting for accept, sized for bursts
-# Short against the limits that are checked on ticks: RECOVERY_GRACE_S of
-# ``known_servers`` and the end of the grace time.
-TICK_S = 0.2
+# Short against RECOVERY_GRACE_S of ``known_servers``, which ends on a tick.
+TICK_S = 0.4
+DRAIN_TICK_S = 0.1  # the same against the grace time of a stopping process
 LOADS_PORT_STEP = 2  # offset of the load port from the heartbeat port
 # Idle connections to backend servers are kept long, because opening new ones is
 # expensive; a server's Keep-Alive header shortens the time.
@@ -256,9 +256,9 @@
 
     async def _finish_open(self, deadline_s: float) -> None:
         while self._forwarder.open_requests and self._loop.time() < deadline_s:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(DRAIN_TICK_S)
         # Gives the last answers time to reach their callers.
-        await asyncio.sleep(TICK_S)
+        await asyncio.sleep(DRAIN_TICK_S)
 
     def _reload(self) -> None:
         self._log.note('Ignored SIGHUP: no setting can be reloaded.')
--- a/src/siskinpass/process/fleet/source.py
+++ b/src/siskinpass/process/fleet/source.py
@@ -23,8 +23,8 @@
 from siskinpass.process.peers import PEER_ERRORS
 
 CHECK_S = 0.4  # time between checks of this instance's role
-# Three heartbeats of the feed: a reader that sends nothing for as long is lost.
-SILENCE_S = 1.2
+# A reader that sends nothing for more than two heartbeats of the feed is lost.
+SILENCE_S = 1.8
 # Time for the first update: a connection, and a listing of the store.
 FIRST_UPDATE_S = 0.7
 FRESH_WAIT_S = 0.5
@@ -153,10 +153,26 @@
         except PEER_ERRORS as error:
             self._log.warn('Lost the reader.', reader=name, cause=repr(error))
             self._parts.members.links.drop(name)
-        if not self._reads_itself():
+        if not self._should_leave(name):
             self._failed_until_s[name] = self._loop.time() + FAILED_TTL_S
             self._parts.state.apply_servers(StoreUnavailable())
 
+    def _should_leave(self, name: str) -> bool:
+        """Return whether to stop following a reader that works.
+
+        Followers of an instance that is not one of the readers, or is no longer
+        one, would keep it reading.
+        """
+        if self._reads_itself():
+            return True
+        now_s = self._loop.time()
+        expected = [
+            reader
+            for reader in readers(self._parts.members.serving)
+            if self._failed_until_s.get(reader, 0.0) <= now_s
+        ]
+        return bool(expected) and name not in expected
+
     async def _receive(self, name: str) -> None:
         """Apply a reader's updates until it is lost or no longer fresh."""
         channel = self._parts.members.links.channel(name)
@@ -168,7 +184,7 @@
                 await stream.send_message(request, end=True)
                 update = await stream.recv_message()
             while update is not None and self._apply(update):
-                if self._reads_itself():
+                if self._should_leave(name):
                     break
                 async with asyncio.timeout(SILENCE_S):
                     update = await stream.recv_message()
--- a/src/siskinpass/process/gossip.py
+++ b/src/siskinpass/process/gossip.py
@@ -21,8 +21,9 @@
     TimePassed,
 )
 
-TICK_S = 0.1
+TICKS_PER_PROBE = 2
 MAC_BYTES = 16
+MAX_LOGGED = 8  # changes in one update; a fleet may start all at once
 MAX_DATAGRAM_BYTES = 1400
 
 
@@ -103,7 +104,9 @@
     async def run(self) -> None:
         """Drive the time-outs and probes until cancelled."""
         while True:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(
+                self._membership.probe_interval_s / TICKS_PER_PROBE
+            )
             self._apply(TimePassed())
 
     def _apply(self, event: MembershipEvent) -> None:
@@ -118,10 +121,18 @@
     def _log_changes(self, members: tuple[Member, ...]) -> None:
         before = {member.name for member in self._live}
         after = {member.name for member in members}
-        for joined in sorted(after - before):
-            self._log.note('An instance is live.', instance=joined)
-        for lost in sorted(before - after):
-            self._log.warn('An instance is dead.', instance=lost)
+        joined, lost = sorted(after - before), sorted(before - after)
+        for name in joined[:MAX_LOGGED]:
+            self._log.note('An instance is live.', instance=name)
+        for name in lost[:MAX_LOGGED]:
+            self._log.warn('An instance is dead.', instance=name)
+        left_out = len(joined[MAX_LOGGED:]) + len(lost[MAX_LOGGED:])
+        if left_out:
+            self._log.note(
+                'More instances changed than are logged.',
+                left_out=left_out,
+                live=len(members),
+            )
 
     def _send(self, command: SendPacket) -> None:
         body = encode_packet(command.packet)
--- a/src/siskinpass/process/membership.py
+++ b/src/siskinpass/process/membership.py
@@ -18,6 +18,9 @@
     """Configuration of the failure detector.
 
     :param probe_interval_s: time between probes.
+    :param large_group: number of members above which each of them is probed
+        often enough by the others, so that one member may probe more rarely.
+    :param large_probe_interval_s: time between probes in a large group.
     :param ack_timeout_s: wait for an ack before others are asked to probe.
     :param suspect_timeout_s: time after which a suspect is declared dead.
     :param forget_after_s: time after which a dead member is removed.
@@ -27,6 +30,8 @@
     """
 
     probe_interval_s: float = 0.2
+    large_group: int = 24
+    large_probe_interval_s: float = 0.5
     ack_timeout_s: float = 0.1
     suspect_timeout_s: float = 0.8
     forget_after_s: float = 60.0
@@ -210,6 +215,13 @@
         """Return the state that this instance announces of itself."""
         return self._own
 
+    @property
+    def probe_interval_s(self) -> float:
+        """Return the time between two probes, in seconds."""
+        if len(self._entries) > self._policy.large_group:
+            return self._policy.large_probe_interval_s
+        return self._policy.probe_interval_s
+
     @property
     def members(self) -> list[Member]:
         """Return all known members, including this instance and dead ones."""
@@ -288,7 +300,7 @@
         self._request_indirect_probes()
         if self._now_s >= self._next_probe_s:
             self._finish_probe()
-            self._next_probe_s = self._now_s + self._policy.probe_interval_s
+            self._next_probe_s = self._now_s + self.probe_interval_s
             self._ping_missing_seeds()
             self._start_probe()
 
