Keep requests that an engine has no slot for in the queue

Cause: engines of the grown sites run 12 to 48 requests at once, and the limits of placement counted prompt tokens only. Ruled out: the limits of the prefill backlog, which stay. Change: an engine whose slots are taken gets no prompt of a broad stream, and two more tight streams at most; where it has none free it costs 40,000 tokens more.

--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -90,6 +90,10 @@
     :param max_unread_tokens: unread tokens of a tier and those above it up to
         which an engine gets another prompt of that tier: one second of prefill.
         This bounds the backlog of an engine that is slower than estimated.
+    :param extra_tight_streams: requests beyond the slots of an engine up to
+        which it still gets tight streams; it preempts others for them.
+    :param preemption_tokens: cost of a request for which an engine has no free
+        slot.
     :param plain_requests_per_slot: requests for each slot of a plain server.
         The additional half covers the network round trip.
     """
@@ -109,6 +113,8 @@
     backlog_s: float = 0.25
     max_tight_wait_s: float = 0.1
     max_unread_tokens: int = 50_000
+    extra_tight_streams: int = 2
+    preemption_tokens: float = 40_000.0
     plain_requests_per_slot: float = 1.5
 
 
@@ -163,10 +169,11 @@
         tier and target.
         """
         policy = self._policy
-        if (
-            server.load.unread_at_or_above(ticket.tier)
-            > policy.max_unread_tokens
-        ):
+        unread = server.load.unread_at_or_above(ticket.tier)
+        if unread > policy.max_unread_tokens:
+            return False
+        extra = policy.extra_tight_streams if ticket.is_tight else 0
+        if _is_full(server, extra):
             return False
         if ticket.is_tight:
             # Prefilling one prompt at a time lengthens the pauses of the
@@ -272,6 +279,8 @@
             policy.duplicate_prefill_factor - 1
         )
         cost += load.running * policy.running_request_tokens
+        if _is_full(server):
+            cost += policy.preemption_tokens
         cost += server.failure_rate_at(self._now_s) * policy.failure_tokens
         cost += 0 if name == self._home else self._non_home_cost()
         return cost + self._reservation_cost(server), name
@@ -325,6 +334,15 @@
         )
 
 
+def _is_full(server: Server, extra: int = 0) -> bool:
+    """Return whether an engine has no free slot.
+
+    :param extra: requests that it may run in addition to its slots.
+    """
+    slots = server.view.slots
+    return slots > 0 and server.load.running >= slots + extra
+
+
 def _plain_cost(server: Server, now_s: float) -> tuple[float, str]:
     slots = max(1, server.view.slots)
     cost = (server.load.running + 1) / slots
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -352,3 +352,51 @@
         # The cache holds 700 of the 1,000 tokens, the rest is for running
         # requests.
         assert kept == [0, 2, 3, 4, 5, 6, 7]
+
+
+class TestSlots:
+    """Test engines that run few requests at a time.
+
+    Further requests would wait there out of the order of tiers, or preempt
+    running ones, whose prompts then have to be prefilled again.
+    """
+
+    SLOTS = 12
+
+    def overload(self):
+        """Return a broker with more long prompts than its engines can run."""
+        made = broker(
+            tuple(
+                ServerView(f'e-{n}', '1.1.1.1:1', 'lm', slots=self.SLOTS)
+                for n in range(5)
+            ),
+        )
+        for number in range(100):
+            ticket = prompt(number, number % 9, opened_s=number * 0.1)
+            commands = made.apply(TicketOpened(ticket), number * 0.1)
+            commands += made.apply(ClockTicked(), number * 0.1 + 0.02)
+            for ticket_id in grants(commands):
+                made.apply(PrefillCompleted(ticket_id), number * 0.1 + 0.03)
+        return made
+
+    def test_long_prompts_wait_for_a_slot(self):
+        """No engine gets more of them than it has slots."""
+        made = self.overload()
+        running = [server.load.running for server in made.table.servers]
+        assert max(running) == self.SLOTS
+        assert made.waiting
+
+    def test_tight_stream_does_not_wait_behind_them(self):
+        """It is placed at once, before the long prompts that wait."""
+        made = self.overload()
+        placed = grants(made.apply(TicketOpened(tight(999, opened_s=10.0)), 10))
+        assert list(placed) == ['t-999']
+
+    def test_freed_slot_goes_to_a_waiting_prompt(self):
+        """A prompt that ended makes room for the next one."""
+        made = self.overload()
+        waiting = made.waiting
+        made.apply(GrantReleased('t-0'), 10.1)
+        for tick in range(20):
+            made.apply(ClockTicked(), 10.2 + tick * 0.02)
+        assert made.waiting < waiting
