Reserve as many engines for tight streams as have slots for them

Cause: by the count of streams an engine of 12 slots was given 20 of them, so that with the slot limit some would have waited while other engines were free. Change: at most 0.8 of the slots count for each reserved engine. Idle instances no longer ask engines for their caches at a start.

--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -67,6 +67,8 @@
     :param streams_per_reserved_server: tight streams for each reserved server.
         A decoding step then takes 1.5 times as long as with one stream; with
         more streams the prefill of their own prompts makes their pauses longer.
+    :param max_slot_fraction: limits the streams for each reserved server to this
+        fraction of its slots, where it has few.
     :param min_reserved_fraction: smallest fraction of the servers that are
         reserved.
     :param max_reserved_fraction: largest fraction of the servers that may be
@@ -105,6 +107,7 @@
     tight_non_home_factor: float = 0.6
     reservation_penalty: float = 500_000.0
     streams_per_reserved_server: int = 20
+    max_slot_fraction: float = 0.8
     min_reserved_fraction: float = 0.25
     max_reserved_fraction: float = 0.5
     reserved_decay_s: float = 15.0
@@ -216,12 +219,21 @@
         self._streams = max(float(tight), held)
         wanted_size = max(
             round(self._policy.min_reserved_fraction * len(servers)),
-            math.ceil(self._streams / self._policy.streams_per_reserved_server),
+            math.ceil(self._streams / self._streams_per_server(servers)),
         )
         max_size = int(len(servers) * self._policy.max_reserved_fraction)
         ordered = self._rank(server.view.name for server in servers)
         return frozenset(ordered[: max(1, min(wanted_size, max_size))])
 
+    def _streams_per_server(self, servers: Sequence[Server]) -> float:
+        policy = self._policy
+        slots = max(server.view.slots for server in servers)
+        if not slots:
+            return policy.streams_per_reserved_server
+        return min(
+            policy.streams_per_reserved_server, slots * policy.max_slot_fraction
+        )
+
     def _rank(self, names: Iterable[str]) -> tuple[str, ...]:
         """Return the order in which servers are reserved.
 
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -130,9 +130,12 @@
     def _load_kept_parts(self) -> None:
         """Query the engines' caches, except on the system's first start.
 
-        Engines may have been running before this process.
+        Engines may have been running before this process. Instances that no
+        caller is sent to spare them the query.
         """
-        if self._settings.is_first_start:
+        large = large_members(self._members.serving)
+        names = {member.name for member in large}
+        if self._settings.is_first_start or self._settings.name not in names:
             return
         services = self._state.table().services
         engines = [
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -25,6 +25,7 @@
 )
 
 KV_CAPACITY_TOKENS = 600_000
+FEW_SLOTS = 12
 SERVERS = tuple(
     ServerView(f'e-{n}', '1.1.1.1:1', 'lm', slots=64) for n in range(5)
 )
@@ -361,13 +362,11 @@
     running ones, whose prompts then have to be prefilled again.
     """
 
-    SLOTS = 12
-
     def overload(self):
         """Return a broker with more long prompts than its engines can run."""
         made = broker(
             tuple(
-                ServerView(f'e-{n}', '1.1.1.1:1', 'lm', slots=self.SLOTS)
+                ServerView(f'e-{n}', '1.1.1.1:1', 'lm', slots=FEW_SLOTS)
                 for n in range(5)
             ),
         )
@@ -383,7 +382,7 @@
         """No engine gets more of them than it has slots."""
         made = self.overload()
         running = [server.load.running for server in made.table.servers]
-        assert max(running) == self.SLOTS
+        assert max(running) == FEW_SLOTS
         assert made.waiting
 
     def test_tight_stream_does_not_wait_behind_them(self):
@@ -392,6 +391,25 @@
         placed = grants(made.apply(TicketOpened(tight(999, opened_s=10.0)), 10))
         assert list(placed) == ['t-999']
 
+    def test_reservation_follows_the_slots(self):
+        """Tight streams get as many engines as have slots for all of them."""
+        made = broker(
+            tuple(
+                ServerView(f'e-{n}', '1.1.1.1:1', 'lm', slots=FEW_SLOTS)
+                for n in range(20)
+            ),
+        )
+        placed = Counter()
+        for number in range(80):
+            now_s = number * 0.1
+            ticket = tight(number, opened_s=now_s)
+            commands = made.apply(TicketOpened(ticket), now_s)
+            commands += made.apply(ClockTicked(), now_s + 0.05)
+            placed.update(grants(commands).values())
+            made.apply(PrefillCompleted(ticket.ticket_id), now_s + 0.06)
+        assert placed.total() == 80
+        assert max(placed.values()) <= FEW_SLOTS
+
     def test_freed_slot_goes_to_a_waiting_prompt(self):
         """A prompt that ended makes room for the next one."""
         made = self.overload()
