Take test ports below the range of outgoing connections; remove dead code

Cause: test_lost_reader_is_replaced failed once, since an instance could not bind its port (address already in use, 45915): the tests took free ports from the range from which outgoing connections take theirs, and released them before the instance started. Ruled out: two listeners on one port, as each port is taken once. Change: ports of tests come from 10,000 to 32,000.

--- a/src/siskinpass/process/addresses.py
+++ b/src/siskinpass/process/addresses.py
@@ -7,8 +7,6 @@
 from siskinpass.process.membership import Member
 
 MAX_ADDRESSES = 3
-MIN_NEAR = 2
-MAX_NEAR = 64  # callers ignore any further addresses of an answer
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,17 +56,3 @@
         ranks.append(seen[address.zone])
     order = sorted(range(len(candidates)), key=ranks.__getitem__)
     return [candidates[index] for index in order]
-
-
-def addresses_near(serving: Iterable[Member], zone: str) -> list[str]:
-    """Return the addresses of a zone, or of all zones if it has fewer than two.
-
-    With a single address, a caller would have no alternative if it fails.
-
-    :param serving: members that are neither dead nor leaving.
-    :param zone: availability zone of the caller.
-    """
-    candidates = [member for member in serving if member.caller_address]
-    near = [member for member in candidates if member.zone == zone]
-    chosen = near if len(near) >= MIN_NEAR else candidates
-    return [member.caller_address for member in chosen[:MAX_NEAR]]
--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -67,8 +67,8 @@
     :param streams_per_reserved_server: tight streams for each reserved server.
         A decoding step then takes 1.5 times as long as with one stream; with
         more streams the prefill of their own prompts makes their pauses longer.
-    :param max_slot_fraction: limits the streams for each reserved server to this
-        fraction of its slots, where it has few.
+    :param max_slot_fraction: limits the streams for each reserved server to
+        this fraction of its slots, where it has few.
     :param min_reserved_fraction: smallest fraction of the servers that are
         reserved.
     :param max_reserved_fraction: largest fraction of the servers that may be
--- a/src/siskinpass/process/fleet/peers.py
+++ b/src/siskinpass/process/fleet/peers.py
@@ -19,8 +19,8 @@
 
     :param key: peer key that callers must present.
     :param meet: called with a caller's own state; returns all known members.
-    :param feed: state to relay.
-    :param read_store: returns once the store is being read for a follower.
+    :param follow: returns the updates for a follower, given the configuration
+        version in force there.
     """
 
     def __init__(
--- a/src/siskinpass/process/fleet/reader.py
+++ b/src/siskinpass/process/fleet/reader.py
@@ -54,11 +54,6 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_timer: asyncio.TimerHandle | None = None
 
-    @property
-    def is_reading(self) -> bool:
-        """Return whether the watches run."""
-        return bool(self._tasks)
-
     @property
     def is_needed(self) -> bool:
         """Return whether anyone needs the watches."""
--- a/src/siskinpass/process/fleet/source.py
+++ b/src/siskinpass/process/fleet/source.py
@@ -94,13 +94,16 @@
                     yield update
 
     def _reads_itself(self) -> bool:
+        return self._is_reader() or self._parts.reader.is_needed
+
+    def _is_reader(self) -> bool:
         members = self._parts.members
-        if members.is_isolated or self._parts.reader.is_needed:
-            return True
         serving = members.serving
-        if len(serving) <= self._parts.small_fleet:
-            return True
-        return self._own in readers(serving)
+        return (
+            members.is_isolated
+            or len(serving) <= self._parts.small_fleet
+            or self._own in readers(serving)
+        )
 
     def _next_reader(self) -> str:
         """Return the reader to follow, empty if all have failed lately."""
@@ -119,20 +122,9 @@
         self._log.note('This instance reads the store.')
         with self._parts.reader.reading():
             await asyncio.sleep(CHECK_S)
-            while self._has_reason_to_read():
+            while self._is_reader() or self._parts.feed.followers:
                 await asyncio.sleep(CHECK_S)
 
-    def _has_reason_to_read(self) -> bool:
-        """Return whether more than this task itself needs the store."""
-        members = self._parts.members
-        serving = members.serving
-        return (
-            members.is_isolated
-            or self._parts.feed.followers > 0
-            or len(serving) <= self._parts.small_fleet
-            or self._own in readers(serving)
-        )
-
     async def _read_rarely(self) -> None:
         """Wait, or try the store although no reader hears it.
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,12 +2,18 @@
 
 import asyncio
 import os
+import random
 import re
 import socket
 import sys
 import tempfile
 from collections.abc import AsyncGenerator
-from contextlib import AsyncExitStack, ExitStack, asynccontextmanager
+from contextlib import (
+    AsyncExitStack,
+    ExitStack,
+    asynccontextmanager,
+    suppress,
+)
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -20,6 +26,7 @@
 
 WAIT_S = 20.0
 POLL_S = 0.02
+PORT_RANGE = (10_000, 32_000)
 HOST = 'h.example'
 KEY = 'key-1'
 SETTINGS = """
@@ -193,15 +200,19 @@
 def free_ports(count):
     """Return TCP ports that nothing listens on.
 
+    They are below the range from which outgoing connections take their own
+    ports, since one of these could take a port before its listener does.
     Instances also use UDP ports of these and neighbouring numbers, which are
     assumed to be free.
     """
+    found: list[int] = []
     with ExitStack() as stack:
-        found = [
-            stack.enter_context(socket.create_server(('127.0.0.1', 0)))
-            for _ in range(count)
-        ]
-        return [sock.getsockname()[1] for sock in found]
+        while len(found) < count:
+            port = random.randrange(*PORT_RANGE)
+            with suppress(OSError):
+                stack.enter_context(socket.create_server(('127.0.0.1', port)))
+                found.append(port)
+    return found
 
 
 async def exchange(port, wire):
