Give each port of the tests to one listener only

Cause: an instance of a test could not bind its port a second time (12006). Ports were drawn anew for each instance while those drawn before it did not listen yet, so that two of some thirty listeners of a fleet could draw the same one. Ruled out: ports of outgoing connections, which begin at 32,768. Change: ports are counted up from a random start and never given out twice. Conclusion: no two listeners of one run can have the same port.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,6 +1,7 @@
 """Run entry instances of a fleet as processes on the stand-in platform."""
 
 import asyncio
+import itertools
 import os
 import random
 import re
@@ -8,12 +9,7 @@
 import sys
 import tempfile
 from collections.abc import AsyncGenerator
-from contextlib import (
-    AsyncExitStack,
-    ExitStack,
-    asynccontextmanager,
-    suppress,
-)
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -26,7 +22,9 @@
 
 WAIT_S = 20.0
 POLL_S = 0.02
-PORT_RANGE = (10_000, 32_000)
+MIN_PORT = 10_000
+MAX_FIRST_PORT = 25_000  # the tests take far fewer than the ports above it
+PORTS = itertools.count(random.randrange(MIN_PORT, MAX_FIRST_PORT))
 HOST = 'h.example'
 KEY = 'key-1'
 SETTINGS = """
@@ -201,17 +199,16 @@
     """Return TCP ports that nothing listens on.
 
     They are below the range from which outgoing connections take their own
-    ports, since one of these could take a port before its listener does.
+    ports, since one of these could take a port before its listener does. No
+    port is returned twice, as a process that got it may not listen yet.
     Instances also use UDP ports of these and neighbouring numbers, which are
     assumed to be free.
     """
     found: list[int] = []
-    with ExitStack() as stack:
-        while len(found) < count:
-            port = random.randrange(*PORT_RANGE)
-            with suppress(OSError):
-                stack.enter_context(socket.create_server(('127.0.0.1', port)))
-                found.append(port)
+    while len(found) < count:
+        port = next(PORTS)
+        with suppress(OSError), socket.create_server(('127.0.0.1', port)):
+            found.append(port)
     return found
 
 
