Send load reports to the instances that callers use, and to no others

Cause: by reading: reports went to all large instances, which in a fleet of equal ones are all of them, so that their number grows with the square again. Conclusion: bounded by MAX_SERVING.

--- a/src/siskinpass/process/fleet/members.py
+++ b/src/siskinpass/process/fleet/members.py
@@ -15,6 +15,7 @@
 from siskinpass.platform.objects import INSTANCES_KIND
 from siskinpass.process import codec
 from siskinpass.process import peer_pb2 as pb
+from siskinpass.process.fleet.roles import all_serving_members
 from siskinpass.process.fleet.settings import FleetSettings
 from siskinpass.process.fleet.store_client import StoreClient
 from siskinpass.process.gossip import Gossip
@@ -68,6 +69,7 @@
         self._log = ComponentLog('member')
         self._max_seen = 1
         self._is_registered = False
+        self._caller_members: list[Member] = []
         self._own = Member(
             settings.name,
             settings.peers,
@@ -97,6 +99,11 @@
         """Return the members that are neither dead nor leaving."""
         return self.gossip.membership.serving
 
+    @property
+    def caller_members(self) -> list[Member]:
+        """Return the members that callers are sent to."""
+        return self._caller_members
+
     @property
     def is_isolated(self) -> bool:
         """Return whether no other instance has been heard for a while."""
@@ -273,6 +280,7 @@
     def _update_live(self) -> None:
         live = self.gossip.membership.live
         self._max_seen = max(self._max_seen, len(live))
+        self._caller_members = all_serving_members(self.serving)
         self.links.update_addresses({
             member.name: member.peer_address
             for member in live
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -22,7 +22,7 @@
 from siskinpass.process.fleet.peers import FleetPeerService
 from siskinpass.process.fleet.policy import fleet_policy
 from siskinpass.process.fleet.reader import StoreReader
-from siskinpass.process.fleet.roles import large_members, serving_members
+from siskinpass.process.fleet.roles import serving_members
 from siskinpass.process.fleet.settings import FleetSettings
 from siskinpass.process.fleet.source import SourceParts, StateSource
 from siskinpass.process.fleet.state import StoredState
@@ -133,8 +133,7 @@
         Engines may have been running before this process. Instances that no
         caller is sent to spare them the query.
         """
-        large = large_members(self._members.serving)
-        names = {member.name for member in large}
+        names = {member.name for member in self._members.caller_members}
         if self._settings.is_first_start or self._settings.name not in names:
             return
         services = self._state.table().services
@@ -289,7 +288,7 @@
         These are the ones that callers are sent to.
         """
         return self._members.peer_sockets(
-            large_members(self._members.serving), LOADS_PORT_STEP
+            self._members.caller_members, LOADS_PORT_STEP
         )
 
     def _send_placement(self, placed: PromptPlaced) -> None:
--- a/src/siskinpass/process/fleet/roles.py
+++ b/src/siskinpass/process/fleet/roles.py
@@ -56,6 +56,21 @@
     return _first(large, MAX_SERVING)
 
 
+def all_serving_members(members: Iterable[Member]) -> list[Member]:
+    """Return the members that callers in any zone should use.
+
+    They tell each other their loads, so that their number has to be bounded.
+    """
+    given = tuple(members)
+    zones = {member.zone for member in given}
+    chosen = {
+        member.name: member
+        for zone in zones
+        for member in serving_members(given, zone)
+    }
+    return [chosen[name] for name in sorted(chosen)]
+
+
 def readers(members: Iterable[Member]) -> list[str]:
     """Return the names of the members that read the store for the others.
 
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -7,6 +7,7 @@
 from siskinpass.process.fleet.roles import (
     MAX_SERVING,
     READERS,
+    all_serving_members,
     reader_order,
     readers,
     serving_members,
@@ -60,6 +61,14 @@
         assert len(near) == MAX_SERVING // len(ZONES)
         assert len(serving_members(everyone, '')) == MAX_SERVING
 
+    @pytest.mark.parametrize(
+        ('large', 'small', 'expected'),
+        [(9, 0, 9), (6, 84, 6), (15, 180, 15), (450, 0, MAX_SERVING)],
+    )
+    def test_load_reports_are_bounded(self, large, small, expected):
+        """They go to the members that callers use, in any zone."""
+        assert len(all_serving_members(members(large, small))) == expected
+
     def test_lost_member_is_replaced(self):
         """Another zone's members serve a zone that has too few left."""
         left = [one for one in members(6, 84) if one.name != 'm-0']
