Log the shared prompt parts of failed attempts and the age of their heads

Requests with one part in common cannot be told from requests of one route.

Change: 'An attempt failed.' carries parts (at most 8, 32 characters each) and head_age_ms. tests/test_explain.py holds both; it failed before. No decision changes.

--- a/src/siskinpass/process/fleet/answer.py
+++ b/src/siskinpass/process/fleet/answer.py
@@ -46,12 +46,15 @@
     :param head: head of the answer, ``None`` if none was received.
     :param body: complete body of an answer that is not a stream.
     :param cause: reason of the failure, for the log.
+    :param head_age_s: how long before the failure the head arrived, ``None``
+        if none was received.
     """
 
     ending: AttemptOutcome | None
     head: AnswerHead | None = None
     body: bytes = b''
     cause: str = ''
+    head_age_s: float | None = None
 
     @property
     def is_success(self) -> bool:
@@ -81,6 +84,7 @@
         self._parser = parser
         self._writer = writer
         self._head: AnswerHead | None = None
+        self._head_s = 0.0
         self._body = bytearray()
         self._is_streaming = False
         self._rejection = ''
@@ -141,6 +145,7 @@
         if not head.notice.is_empty:
             self._on_notice(head.notice)
         self._head = head
+        self._head_s = self._loop.time()
         self._rejection = _rejection_of(head)
         if self._connection is not None and head.idle_s:
             idle_s = head.idle_s - IDLE_MARGIN_S
@@ -221,7 +226,10 @@
         if self._parser is not None:
             self._parser.drop_partial()
         ending = AttemptOutcome.cut if self.has_begun else AttemptOutcome.lost
-        return AttemptResult(ending, self._head, cause=cause)
+        head_age_s = self._loop.time() - self._head_s if self._head else None
+        return AttemptResult(
+            ending, self._head, cause=cause, head_age_s=head_age_s
+        )
 
     def _end(self, attempt_result: AttemptResult) -> None:
         if not self.finished.done():
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -58,6 +58,9 @@
 RETRY_AFTER_JITTER_S = 0.3
 # No attempt is made with less time left: no server answers within it.
 MIN_ATTEMPT_S = 0.02
+# Limits of what a log line tells of a prompt, whose parts callers name.
+MAX_LOGGED_PARTS = 8
+MAX_LOGGED_KEY = 32  # characters
 DEFAULT_TIMEOUT_S = 60.0  # for callers that state no time limit
 
 
@@ -460,9 +463,20 @@
             cause=attempt_result.cause,
             status=attempt_result.head.status if attempt_result.head else 0,
             step=step.value,
+            parts=self._shared_parts(),
+            head_age_ms=(
+                None
+                if attempt_result.head_age_s is None
+                else _in_ms(attempt_result.head_age_s)
+            ),
             age_ms=_in_ms(self._age_s()),
         )
 
+    def _shared_parts(self) -> list[str]:
+        """Return the keys of the parts that other prompts may share."""
+        parts = self._call.prompt.shared_parts[:MAX_LOGGED_PARTS]
+        return [part.key[:MAX_LOGGED_KEY] for part in parts]
+
     def _last_event_id(self, route: Route) -> str:
         if not route.is_resumable:
             return ''
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -19,7 +19,8 @@
     """Cut a stream that must not be resumed."""
     for server in fleet.servers:
         server.faults.cuts = 1
-    answer = await fleet.ask('/plain-stream/x', call=CALL_ID)
+    parts = 'X-Prompt-Prefix: aa:10,bb:20,cc:5\r\n'
+    answer = await fleet.ask('/plain-stream/x', call=CALL_ID, more=parts)
     assert not answer.is_whole
 
 
@@ -68,7 +69,13 @@
         [
             (
                 cut_by_crash,
-                ['A request goes to a server', 'ending=cut', 'step=cut'],
+                [
+                    'A request goes to a server',
+                    'ending=cut',
+                    'step=cut',
+                    "parts=['aa', 'bb']",
+                    'head_age_ms=',
+                ],
             ),
             (
                 refused_under_load,
