--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,17 +6,19 @@
 
 import asyncio
 import itertools
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
 
 import orjson
 
 from standins.http_server import (
+    Connections,
     HangUpError,
     Request,
     Response,
     json_response,
+    serve,
 )
 
 PREFIX = '/-/objects/'
@@ -24,6 +26,7 @@
 NOISE_BYTES = 65_536  # of each piece of an endless body
 TRICKLE_S = 0.1
 MAX_TRICKLED_BYTES = 600
+RESTART_S = 0.5  # from the end of a server's process to its next start
 
 
 class ObjectStore:
@@ -232,6 +235,9 @@
     :param pause: time to state with a pause, in seconds.
     :param notices: headers that each answer carries.
     :param sent_bytes: bytes of endless bodies sent so far.
+    :param crashing_parts: prompt parts under which the server's process ends as
+        soon as it begins an answer.
+    :param on_crash: called when it does.
     """
 
     name: str
@@ -243,6 +249,8 @@
     pause: str = '2.5'
     notices: dict[str, str] = field(default_factory=dict)
     sent_bytes: int = 0
+    crashing_parts: frozenset[str] = frozenset()
+    on_crash: Callable[[], None] | None = None
 
     async def __call__(self, request: Request) -> Response:
         """Return the response to a request.
@@ -272,19 +280,32 @@
         }
         if self._consume_fault('bare_refusals'):
             return Response(503, headers=headers)
+        stream = self._stream_of(request)
+        if stream is not None:
+            return Response(headers=headers, stream=stream)
+        body = orjson.dumps({'ran': self.name, 'body': request.body.decode()})
+        return Response(200, body, headers)
+
+    def _stream_of(self, request: Request) -> AsyncIterator[bytes] | None:
+        if self.crashing_parts.intersection(shared_parts(request)):
+            return self._crash()
         if self._consume_fault('endless'):
-            return Response(headers=headers, stream=self._noise())
+            return self._noise()
         if 'stream' in request.path:
             after = int(request.headers.get('last-event-id', '0'))
-            return Response(headers=headers, stream=self._stream(after))
-        body = orjson.dumps({'ran': self.name, 'body': request.body.decode()})
-        return Response(200, body, headers)
+            return self._stream(after)
+        return None
 
     def _consume_fault(self, fault: str) -> bool:
         remaining = getattr(self.faults, fault)
         setattr(self.faults, fault, max(0, remaining - 1))
         return remaining > 0
 
+    async def _crash(self) -> AsyncIterator[bytes]:
+        await asyncio.sleep(self.gap_s)
+        self.on_crash()
+        yield b'id: '
+
     async def _noise(self) -> AsyncIterator[bytes]:
         while True:
             self.sent_bytes += NOISE_BYTES
@@ -303,3 +324,79 @@
                 yield b'id: '
                 raise HangUpError
             yield f'id: {number}\ndata: x{number}\n\n'.encode()
+
+
+def shared_parts(request: Request) -> list[str]:
+    """Return the names of the prompt parts that requests may share.
+
+    The last part belongs only to the request itself.
+    """
+    entries = request.headers.get('x-prompt-prefix', '').split(',')
+    return [entry.partition(':')[0] for entry in entries[:-1]]
+
+
+class RestartingServer:
+    """Backend server whose process ends on some prompt parts.
+
+    It starts again after a while, at the same address and under a new id. The
+    entry of the process that ended stays for a while.
+
+    :param store: where it registers.
+    :param entry: registration without what changes at a start.
+    :param crashing_parts: prompt parts under which a process ends.
+    :ivar arrivals: requests that reached any of its processes, in order.
+    :ivar crashes: number of processes that ended.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        store: ObjectStore,
+        entry: dict[str, Any],
+        crashing_parts: frozenset[str],
+    ) -> None:
+        self._name = name
+        self._store = store
+        self._entry = entry
+        self._connections = Connections()
+        self._listener: asyncio.Server | None = None
+        self._crashing_parts = crashing_parts
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.restart_s = RESTART_S
+        self.arrivals: list[Request] = []
+        self.crashes = 0
+
+    async def start(self) -> None:
+        """Listen and register as a new process."""
+        server = BackendServer(
+            f'{self._name}-{self.crashes}',
+            crashing_parts=self._crashing_parts,
+            on_crash=self._crash,
+            runs=self.arrivals,
+        )
+        host, port = self._entry['address'].rsplit(':', 1)
+        self._listener = await serve(server, host, int(port), self._connections)
+        await self._store.put(
+            'servers', server.name, self._entry | {'born': self.crashes + 1}
+        )
+
+    def close(self) -> None:
+        """End without a restart."""
+        for task in self._tasks:
+            task.cancel()
+        self._listener.close()
+        self._connections.abort()
+
+    def _crash(self) -> None:
+        ended = f'{self._name}-{self.crashes}'
+        self.crashes += 1
+        self._listener.close()
+        self._connections.abort()
+        task = asyncio.get_running_loop().create_task(self._restart(ended))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _restart(self, ended: str) -> None:
+        await asyncio.sleep(self.restart_s)
+        await self.start()
+        await self._store.remove('servers', ended)
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -62,25 +62,56 @@
     )
 
 
-async def serve(handler: Handler, host: str, port: int) -> asyncio.Server:
+async def serve(
+    handler: Handler,
+    host: str,
+    port: int,
+    open_connections: 'Connections | None' = None,
+) -> asyncio.Server:
     """Listen on an address and pass each request to the handler.
 
     Requests of one connection are handled one after another.
+
+    :param open_connections: holds the connections while they are open.
     """
     loop = asyncio.get_running_loop()
+    connections = (
+        Connections() if open_connections is None else open_connections
+    )
     return await loop.create_server(
-        lambda: _Connection(handler),
+        lambda: _Connection(handler, connections),
         host,
         port,
         backlog=2048,
     )
 
 
+class Connections:
+    """Open connections of one server."""
+
+    def __init__(self) -> None:
+        self._transports: set[asyncio.Transport] = set()
+
+    def add(self, transport: asyncio.Transport) -> None:
+        """Add a connection that was accepted."""
+        self._transports.add(transport)
+
+    def discard(self, transport: asyncio.Transport) -> None:
+        """Remove a connection that was closed."""
+        self._transports.discard(transport)
+
+    def abort(self) -> None:
+        """Close all of them at once, as the end of a process does."""
+        for transport in tuple(self._transports):
+            transport.abort()
+
+
 class _Connection(asyncio.Protocol):
     """Protocol of an accepted connection."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, connections: Connections) -> None:
         self._handler = handler
+        self._connections = connections
         self._parser = httptools.HttpRequestParser(self)
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
@@ -91,9 +122,11 @@
 
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
+        self._connections.add(transport)
         self._task = asyncio.ensure_future(self._handle_requests())
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._connections.discard(self._transport)
         self._task.cancel()
 
     def pause_writing(self) -> None:
