Keep prompt parts that crash servers away from them, on all instances

What callers saw: requests with one part in their prompts ended one engine after the other, and with each of them up to ten streams of other callers.

Cause: a crash counted as a fault of the server, which was gone a moment later. Nothing remembered what the request had held, and each instance saw only the crashes under its own requests. A request with the part went to the next server from any instance, also from one that had restarted. The class of fault: one instance learns alone what all must obey within a bound.

Change: instances announce to each other the requests that a crash cut off and the parts of answers that went on. A part is blamed after three crashes one after the other as an answer began. Servers that end together count once, a server counts as crashed only if it refuses connections right after, and an answer that goes on clears its parts. As long as several parts were in all those prompts, only their combination is blocked, so that sound requests with the same key or other parts go on. A block is announced, recorded in the store, read at the start and relayed to followers. The wire of the announcement of leaving servers is the same; it is now sent twice, as datagrams may be lost.

--- a/src/siskinpass/codes.py
+++ b/src/siskinpass/codes.py
@@ -50,6 +50,7 @@
     too_many_connections = 2009
     broker_lost = 2010
     servers_paused = 2011
+    part_blocked = 2012
 
     backend_unreachable = 3001
     stream_cut = 3002
@@ -146,6 +147,9 @@
     Code.too_many_connections: _refused('Too many connections are open.'),
     Code.broker_lost: _refused('The broker of the group does not answer.'),
     Code.servers_paused: _refused('All backend servers asked for a pause.'),
+    Code.part_blocked: _refused(
+        'A part of the prompt crashes backend servers.',
+    ),
     Code.backend_unreachable: Meaning(
         502,
         Ran.not_run,
--- a/src/siskinpass/process/fleet/answer.py
+++ b/src/siskinpass/process/fleet/answer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from siskinpass.codes import Code
@@ -48,6 +48,8 @@
     :param cause: reason of the failure, for the log.
     :param head_age_s: how long before the failure the head arrived, ``None``
         if none was received.
+    :param is_broken_off: whether the server's side ended the answer early.
+    :param has_progressed: whether any event or much of the body had arrived.
     """
 
     ending: AttemptOutcome | None
@@ -55,6 +57,8 @@
     body: bytes = b''
     cause: str = ''
     head_age_s: float | None = None
+    is_broken_off: bool = False
+    has_progressed: bool = False
 
     @property
     def is_success(self) -> bool:
@@ -108,6 +112,11 @@
         self._last_progress_s = self._loop.time()
         connection.send(request, self)
 
+    def abort(self, cause: str) -> None:
+        """Fail the attempt and close the connection."""
+        if not self.finished.done():
+            self._abort(cause)
+
     def cancel(self) -> None:
         """Close the connection, so that the server stops its work."""
         connection, self._connection = self._connection, None
@@ -184,7 +193,7 @@
         elif self._head is not None and self._head.not_run:
             self._end(AttemptResult(AttemptOutcome.declined, self._head))
         else:
-            self._end(self._failure_result(str(error) or 'closed'))
+            self._end(self._broken_off(str(error) or 'closed'))
 
     def _receive_events(self, piece: bytes) -> None:
         try:
@@ -207,7 +216,7 @@
             self._writer.begin(self._head)
             self._end(AttemptResult(None, self._head))
         else:
-            self._end(self._failure_result('the stream ended within an event'))
+            self._end(self._broken_off('the stream ended within an event'))
 
     def _end_body(self) -> None:
         body = bytes(self._body)
@@ -222,13 +231,20 @@
         self.cancel()
         self._end(self._failure_result(cause))
 
+    def _broken_off(self, cause: str) -> AttemptResult:
+        return replace(self._failure_result(cause), is_broken_off=True)
+
     def _failure_result(self, cause: str) -> AttemptResult:
         if self._parser is not None:
             self._parser.drop_partial()
         ending = AttemptOutcome.cut if self.has_begun else AttemptOutcome.lost
         head_age_s = self._loop.time() - self._head_s if self._head else None
         return AttemptResult(
-            ending, self._head, cause=cause, head_age_s=head_age_s
+            ending,
+            self._head,
+            cause=cause,
+            head_age_s=head_age_s,
+            has_progressed=self._has_progressed,
         )
 
     def _end(self, attempt_result: AttemptResult) -> None:
--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -136,10 +136,13 @@
                 Code.servers_paused, retry_after_ms=int(paused_s * MS_PER_S)
             )
 
-    def _may_use(self, view: ServerView) -> bool:
+    def is_serving(self, view: ServerView) -> bool:
+        """Return whether a server is listed and not leaving."""
         current = self._views.get(view.name)
-        is_listed = current is not None and not current.leaving
-        return is_listed and not self._pauses.is_paused(
+        return current is not None and not current.leaving
+
+    def _may_use(self, view: ServerView) -> bool:
+        return self.is_serving(view) and not self._pauses.is_paused(
             view.name, self._loop.time()
         )
 
--- a/src/siskinpass/process/fleet/feed.py
+++ b/src/siskinpass/process/fleet/feed.py
@@ -13,6 +13,7 @@
 import orjson
 
 from siskinpass.process import peer_pb2 as pb
+from siskinpass.process.blocked_parts import BlockedParts
 from siskinpass.process.codec import decode_server, encode_server
 from siskinpass.process.fleet.state import RelayedState
 from siskinpass.request.ticket import ServerView
@@ -32,6 +33,7 @@
         self._version = 0
         self._config = b''
         self._is_fresh = False
+        self._blocked: tuple[BlockedParts, ...] = ()
         self._followers: set[asyncio.Queue[pb.StateUpdate | None]] = set()
 
     @property
@@ -76,6 +78,11 @@
                 )
             )
 
+    def publish_blocked(self, blocked: tuple[BlockedParts, ...]) -> None:
+        """Publish all blocked prompt parts."""
+        self._blocked = blocked
+        self._publish(self._update(blocked=map(_encode_blocked, blocked)))
+
     async def follow(self, version: int) -> AsyncIterator[pb.StateUpdate]:
         """Return the state, its changes and heartbeats, in order.
 
@@ -118,6 +125,7 @@
             is_full=True,
             config=self._config if self._version > version else b'',
             servers=map(encode_server, self._views.values()),
+            blocked=map(_encode_blocked, self._blocked),
         )
 
     def _update(self, **fields: object) -> pb.StateUpdate:
@@ -136,4 +144,15 @@
         config=document,
         servers=tuple(map(decode_server, update.servers)),
         removed=tuple(update.removed),
+        blocked=tuple(map(_decode_blocked, update.blocked)),
+    )
+
+
+def _encode_blocked(blocked: BlockedParts) -> pb.BlockedMessage:
+    return pb.BlockedMessage(
+        parts=sorted(blocked.parts), asked_s=blocked.asked_s
     )
+
+
+def _decode_blocked(message: pb.BlockedMessage) -> BlockedParts:
+    return BlockedParts(frozenset(message.parts), message.asked_s)
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -16,6 +16,8 @@
 from siskinpass.platform.headers import decode_call, encode_send
 from siskinpass.process.fleet.answer import AnswerReceiver, AttemptResult
 from siskinpass.process.fleet.assigner import Assigner
+from siskinpass.process.fleet.part_guard import PartGuard
+from siskinpass.process.fleet.request_parts import RequestParts
 from siskinpass.process.fleet.tickets import (
     Attempt,
     engine_urgency,
@@ -58,9 +60,7 @@
 RETRY_AFTER_JITTER_S = 0.3
 # No attempt is made with less time left: no server answers within it.
 MIN_ATTEMPT_S = 0.02
-# Limits of what a log line tells of a prompt, whose parts callers name.
-MAX_LOGGED_PARTS = 8
-MAX_LOGGED_KEY = 32  # characters
+MAX_LOGGED_PARTS = 8  # of the prompt of a failed attempt
 DEFAULT_TIMEOUT_S = 60.0  # for callers that state no time limit
 
 
@@ -73,6 +73,7 @@
         there was one left.
     :param note_request: adds a request to the retry budget of its service.
     :param on_notice: called with a server and what it says about itself.
+    :param guard: refuses prompts that crash servers.
     """
 
     table: Callable[[], RouteTable | None]
@@ -82,6 +83,7 @@
     may_retry: Callable[[str], bool]
     note_request: Callable[[str], None]
     on_notice: Callable[[ServerView, ServerNotice], None]
+    guard: PartGuard
     log: ComponentLog = field(default_factory=lambda: ComponentLog('forward'))
 
 
@@ -91,12 +93,12 @@
     def __init__(self, context: ForwardContext) -> None:
         self._context = context
         self._numbers = itertools.count(1)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._handlers: dict[asyncio.Task[None], RequestHandler] = {}
 
     @property
     def open_requests(self) -> int:
         """Return how many requests are unanswered."""
-        return len(self._tasks)
+        return len(self._handlers)
 
     def serve(self, caller: HttpCaller, request: WireRequest) -> None:
         """Start the request's task; it is cancelled if the caller leaves."""
@@ -104,10 +106,15 @@
             self._context, caller, request, next(self._numbers)
         )
         task = asyncio.get_running_loop().create_task(request_handler.run())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._handlers[task] = request_handler
+        task.add_done_callback(self._handlers.pop)
         caller.on_lost = task.cancel
 
+    def stop_blocked(self) -> None:
+        """Take back requests from servers that they would crash."""
+        for request_handler in tuple(self._handlers.values()):
+            request_handler.stop_blocked()
+
 
 class RequestHandler:
     """Handler that answers one request, over one or more attempts."""
@@ -132,6 +139,8 @@
         self._server = ''
         self._route_name = ''
         self._ticket: Ticket | None = None
+        self._parts = RequestParts(context.guard, self._call)
+        self._receiver: AnswerReceiver | None = None
 
     async def run(self) -> None:
         """Answer the request; cancelled when the caller disconnects."""
@@ -168,6 +177,13 @@
     def write(self, events: bytes) -> None:
         """Send complete events to the caller."""
         self._caller.write_piece(events)
+        self._parts.note_events()
+
+    def stop_blocked(self) -> None:
+        """Take the request back if its server would crash under it."""
+        is_waiting = self._receiver is not None and not self._parts.has_events
+        if is_waiting and self._parts.is_blocked:
+            self._receiver.abort('its prompt crashes servers')
 
     async def _admit(self) -> None:
         table = self._context.table()
@@ -219,6 +235,7 @@
             self._context.metrics.retried(_RETRY_CODES[attempt_result.ending])
 
     async def _attempt(self, plan: '_Plan') -> AttemptResult:
+        self._parts.check()
         ticket = make_ticket(
             self._call,
             plan,
@@ -230,16 +247,25 @@
         self._log_grant(ticket, view)
         attempt_result = None
         try:
+            self._parts.check()
             attempt_result = await self._send(plan, ticket, view)
         finally:
             self._release(ticket, attempt_result)
         self._avoid = view.name
+        self._parts.judge(
+            attempt_result,
+            view,
+            is_listed=self._context.assigner.is_serving(view),
+        )
         return attempt_result
 
     def _release(
         self, ticket: Ticket, attempt_result: AttemptResult | None
     ) -> None:
         ending = attempt_result.ending if attempt_result else None
+        if self._parts.is_blocked:
+            # The prompt is at fault, not the server.
+            ending = None
         self._context.assigner.release(
             ticket,
             failed=ending
@@ -282,6 +308,7 @@
                 AttemptOutcome.unsent,
                 cause='too little time left for an attempt',
             )
+        self._parts.start_attempt()
         with self._cancel_on_exit(receiver):
             receiver.start(connection, encode_send(self._call, context))
             return await receiver.wait(
@@ -298,14 +325,19 @@
         request, which ``_end_timed_out`` has to know.
         """
         self._in_flight = True
+        self._receiver = receiver
         self._caller.on_writable = receiver.set_reading
         try:
             yield
         finally:
-            receiver.cancel()
-            self._caller.on_writable = None
+            self._stop_receiving(receiver)
         self._in_flight = False
 
+    def _stop_receiving(self, receiver: AnswerReceiver) -> None:
+        receiver.cancel()
+        self._receiver = None
+        self._caller.on_writable = None
+
     def _next_step(
         self, plan: '_Plan', attempt_result: AttemptResult
     ) -> NextStep:
@@ -463,7 +495,7 @@
             cause=attempt_result.cause,
             status=attempt_result.head.status if attempt_result.head else 0,
             step=step.value,
-            parts=self._shared_parts(),
+            parts=self._parts.names[:MAX_LOGGED_PARTS],
             head_age_ms=(
                 None
                 if attempt_result.head_age_s is None
@@ -472,11 +504,6 @@
             age_ms=_in_ms(self._age_s()),
         )
 
-    def _shared_parts(self) -> list[str]:
-        """Return the keys of the parts that other prompts may share."""
-        parts = self._call.prompt.shared_parts[:MAX_LOGGED_PARTS]
-        return [part.key[:MAX_LOGGED_KEY] for part in parts]
-
     def _last_event_id(self, route: Route) -> str:
         if not route.is_resumable:
             return ''
--- a/src/siskinpass/process/fleet/loads.py
+++ b/src/siskinpass/process/fleet/loads.py
@@ -1,4 +1,4 @@
-"""Exchange the load on each backend server with the other instances."""
+"""Exchange loads and announcements with the other instances."""
 
 import asyncio
 import time
@@ -14,13 +14,14 @@
     PromptPiece,
     PromptPlaced,
     ServerLoad,
-    ServerView,
 )
 
 SEND_INTERVAL_S = 0.1  # the interval given in docs/design/platform.md
 # Used while no instance reports any load to this one.
 IDLE_INTERVAL_S = 1.0
 REPEAT_INTERVAL_S = 1.0  # resend unchanged loads: datagrams may be lost
+# An announcement is sent twice, since datagrams may be lost.
+ANNOUNCE_AGAIN_S = 0.3
 NS_PER_MS = 1_000_000
 EXPIRY_S = 3 * REPEAT_INTERVAL_S
 
@@ -82,7 +83,7 @@
 
 
 class LoadExchange(asyncio.DatagramProtocol):
-    """Sender and receiver of load reports and prompt placements over UDP.
+    """Sender and receiver of loads, placements and announcements over UDP.
 
     :param own: name of this instance.
     :param own_loads: returns this instance's load by server.
@@ -91,8 +92,6 @@
     :param on_loads: called with the other instances' summed load, at most once
         per send interval and only after a report was received.
     :param on_placed: called for each prompt that another instance placed.
-    :param on_leaving: called for each server that announced its end to another
-        instance.
     """
 
     def __init__(
@@ -102,14 +101,13 @@
         peers: Callable[[], Iterable[tuple[str, int]]],
         on_loads: Callable[[Mapping[str, ServerLoad]], None],
         on_placed: Callable[[PromptPlaced], None],
-        on_leaving: Callable[[ServerView], object],
     ) -> None:
         self._own = own
         self._own_loads = own_loads
         self._peers = peers
         self._on_loads = on_loads
         self._on_placed = on_placed
-        self._on_leaving = on_leaving
+        self._subscribers: dict[str, Callable[[Any], None]] = {}
         self._loop = asyncio.get_running_loop()
         self._peer_loads = PeerLoadTable()
         self._log = ComponentLog('loads')
@@ -120,6 +118,22 @@
         # the numbers it used before.
         self._sequence = time.time_ns() // NS_PER_MS
 
+    def subscribe(self, topic: str, receive: Callable[[Any], None]) -> None:
+        """Pass the payloads of a topic's announcements to a function.
+
+        The same payload may arrive several times.
+        """
+        self._subscribers[topic] = receive
+
+    def announce(self, topic: str, payload: Any) -> None:
+        """Tell the other instances now and once more a little later.
+
+        :param payload: of types that JSON has, or a data class.
+        """
+        datagram = orjson.dumps({topic: payload})
+        self._send(datagram)
+        self._loop.call_later(ANNOUNCE_AGAIN_S, self._send, datagram)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport for sending."""
         self._transport = transport
@@ -135,11 +149,7 @@
 
     def _decode(self, message: Any, sender: tuple[str, int]) -> None:
         if isinstance(message, dict):
-            leaving = message.get('leaving')
-            if leaving:
-                self._on_leaving(ServerView(**leaving))
-            else:
-                self._on_placed(_decode_placed(message))
+            self._decode_announcement(message)
             return
         name, sequence, rows = message
         loads = {
@@ -151,6 +161,13 @@
         )
         self._has_updates = True
 
+    def _decode_announcement(self, message: dict[str, Any]) -> None:
+        topics = self._subscribers.keys() & message.keys()
+        for topic in topics:
+            self._subscribers[topic](message[topic])
+        if not topics:
+            self._on_placed(_decode_placed(message))
+
     def send_placement(self, placed: PromptPlaced) -> None:
         """Send a prompt's placement to the other instances immediately."""
         pieces = [(piece.key, piece.tokens) for piece in placed.pieces]
@@ -164,10 +181,6 @@
             })
         )
 
-    def send_leaving(self, server: ServerView) -> None:
-        """Tell the other instances that a server announced its end."""
-        self._send(orjson.dumps({'leaving': server}))
-
     async def run(self) -> None:
         """Send and apply reports at the send interval, until cancelled."""
         while True:
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -10,6 +10,7 @@
 from siskinpass.connection.backend import BackendPool, PoolPolicy
 from siskinpass.connection.http_caller import HttpCaller, Serve
 from siskinpass.platform import directory
+from siskinpass.process.blocked_parts import BlockedParts
 from siskinpass.process.broker import BrokerPolicy
 from siskinpass.process.fleet.assigner import Assigner
 from siskinpass.process.fleet.budgets import RetryBudgets
@@ -19,6 +20,12 @@
 from siskinpass.process.fleet.loads import LoadExchange
 from siskinpass.process.fleet.members import FleetMembers
 from siskinpass.process.fleet.notices import ServerNotices
+from siskinpass.process.fleet.part_guard import (
+    BLOCKED_TOPIC,
+    BROKEN_TOPIC,
+    CLEARED_TOPIC,
+    PartGuard,
+)
 from siskinpass.process.fleet.peers import FleetPeerService
 from siskinpass.process.fleet.policy import fleet_policy
 from siskinpass.process.fleet.reader import StoreReader
@@ -48,6 +55,7 @@
 DIRECTORY_TTL_S = 1
 CACHED_TTLS = 3
 LATE_ARRIVAL_S = 0.3  # requests sent before the listener closed
+LEAVING_TOPIC = 'leaving'  # of announcements to the other instances
 EXIT_MARGIN_S = 0.3  # ahead of the kill at the end of the grace time
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
@@ -79,6 +87,17 @@
         self._assigner = Assigner(
             self._policy_for, self._pauses, self._send_placement
         )
+        self._backends = BackendPool(self._loop, BACKEND_POOL)
+        self._loads = LoadExchange(
+            settings.name,
+            self._own_loads,
+            self._load_sockets,
+            self._assigner.set_peer_loads,
+            self._assigner.record_placement,
+        )
+        self._guard = PartGuard(
+            self._backends, self._store, self._loads.announce, self._metrics
+        )
         self._feed = StateFeed()
         self._state = StoredState(
             self._update_servers, self._feed.publish_config
@@ -86,6 +105,7 @@
         self._reader = StoreReader(
             self._store,
             self._state,
+            self._guard,
             self._feed,
             settings.operator_bounds,
         )
@@ -96,19 +116,12 @@
                 self._reader,
                 self._state,
                 self._feed,
+                self._guard,
                 settings.small_fleet,
             ),
         )
-        self._backends = BackendPool(self._loop, BACKEND_POOL)
         self._forwarder = Forwarder(self._forward_context())
-        self._loads = LoadExchange(
-            settings.name,
-            self._own_loads,
-            self._load_sockets,
-            self._assigner.set_peer_loads,
-            self._assigner.record_placement,
-            self._state.mark_leaving,
-        )
+        self._subscribe()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain and return."""
@@ -127,6 +140,20 @@
             await stopping
         await self._drain()
 
+    def _subscribe(self) -> None:
+        self._loads.subscribe(
+            LEAVING_TOPIC,
+            lambda payload: self._state.mark_leaving(ServerView(**payload)),
+        )
+        self._loads.subscribe(BROKEN_TOPIC, self._guard.receive_broken)
+        self._loads.subscribe(CLEARED_TOPIC, self._guard.receive_cleared)
+        self._loads.subscribe(BLOCKED_TOPIC, self._guard.receive_blocked)
+        self._guard.subscribe(self._apply_blocked)
+
+    def _apply_blocked(self, news: Iterable[BlockedParts]) -> None:
+        self._feed.publish_blocked(self._guard.blocked)
+        self._forwarder.stop_blocked()
+
     def _load_kept_parts(self) -> None:
         """Query the engines' caches, except on the system's first start.
 
@@ -163,6 +190,7 @@
             on_notice=ServerNotices(
                 self._pauses, self._announce_leaving, self._metrics
             ).receive,
+            guard=self._guard,
         )
 
     def _watch_signals(self) -> None:
@@ -296,7 +324,7 @@
 
     def _announce_leaving(self, server: ServerView) -> None:
         if self._state.mark_leaving(server):
-            self._loads.send_leaving(server)
+            self._loads.announce(LEAVING_TOPIC, server)
 
     def _own_loads(self) -> dict[str, ServerLoad]:
         return self._assigner.loads
--- /dev/null
+++ b/src/siskinpass/process/fleet/part_guard.py
@@ -0,0 +1,290 @@
+"""Keep prompt parts that crash backend servers away from them.
+
+Each instance sees only its own requests end, so that instances tell each other
+which requests a crash cut off and which parts were in answers that went on.
+Whichever first knows enough blocks the part, tells the others and records the
+block in the store, where instances find it that start later.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import astuple
+from typing import Any
+
+from siskinpass.codes import Code
+from siskinpass.connection.backend import BackendPool
+from siskinpass.exceptions import (
+    ConnectError,
+    FormatError,
+    RefusedError,
+    StoreConflictError,
+    StoreError,
+)
+from siskinpass.platform.blocked import (
+    BLOCKED_KIND,
+    decode_blocked,
+    encode_blocked,
+    record_name,
+)
+from siskinpass.platform.objects import StoredObject
+from siskinpass.process.blocked_parts import BLOCK_S, BlockedParts, BlockList
+from siskinpass.process.fleet.store_client import StoreClient
+from siskinpass.process.fleet.watch import Listed, StoreUnavailable, StoreUpdate
+from siskinpass.process.logs import ComponentLog
+from siskinpass.process.metrics import Metrics
+from siskinpass.process.part_crashes import (
+    BEGUN_WEIGHT,
+    BrokenRequest,
+    ClearedPart,
+    PartCrashes,
+)
+from siskinpass.request.ticket import ServerView
+
+MS_PER_S = 1000
+# Topics of the announcements to the other instances.
+BROKEN_TOPIC = 'broken'
+CLEARED_TOPIC = 'cleared'
+BLOCKED_TOPIC = 'blocked'
+WRITE_RETRY_S = 1.0
+
+# An instance that refuses a request records its parts if the one that blocked
+# them seems to have failed to.
+UNRECORDED_S = 3.0
+
+Announce = Callable[[str, Any], None]
+OnBlocked = Callable[[Iterable[BlockedParts]], None]
+
+
+class PartGuard:
+    """Owner of what this instance knows about parts that crash servers.
+
+    :param backends: connections, with which the end of a server is checked.
+    :param store: where blocked parts are recorded.
+    :param announce: sends a payload on a topic to the other instances.
+    """
+
+    def __init__(
+        self,
+        backends: BackendPool,
+        store: StoreClient,
+        announce: Announce,
+        metrics: Metrics,
+    ) -> None:
+        self._backends = backends
+        self._store = store
+        self._announce = announce
+        self._metrics = metrics
+        self._log = ComponentLog('parts')
+        self._crashes = PartCrashes()
+        self._blocks = BlockList()
+        self._recorded: set[frozenset[str]] = set()
+        self._probes: dict[str, asyncio.Task[bool]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._listeners: list[OnBlocked] = []
+
+    @property
+    def blocked(self) -> tuple[BlockedParts, ...]:
+        """Return all blocked parts."""
+        return self._blocks.current(time.time())
+
+    def subscribe(self, listener: OnBlocked) -> None:
+        """Call a function with all parts that are blocked from now on."""
+        self._listeners.append(listener)
+
+    def check(self, parts: tuple[str, ...]) -> None:
+        """Refuse a prompt that would crash a server.
+
+        :param parts: names of the parts that other prompts may share.
+        :raises RefusedError: if the prompt holds blocked parts.
+        """
+        now_s = time.time()
+        found = self._blocks.find(parts, now_s) if parts else None
+        if found is None:
+            return
+        if found.needs_renewal(now_s) or self._is_unrecorded(found, now_s):
+            self._block(BlockedParts(found.parts, now_s))
+        raise RefusedError(
+            Code.part_blocked, retry_after_ms=int(BLOCK_S * MS_PER_S)
+        )
+
+    def is_blocked(self, parts: tuple[str, ...]) -> bool:
+        """Return whether a prompt would be refused."""
+        return self._blocks.find(parts, time.time()) is not None
+
+    def clear(self, parts: tuple[str, ...]) -> None:
+        """Record that an answer to a prompt with some parts went on."""
+        cleared = self._crashes.clear(parts)
+        if cleared:
+            self._announce(CLEARED_TOPIC, cleared)
+            self._check_beside(cleared)
+
+    def note_broken(self, request: BrokenRequest, server: ServerView) -> None:
+        """Record that an answer broke off, if its server has ended.
+
+        A server that still accepts connections, or that cannot be reached at
+        all, has not crashed.
+        """
+        self._start(self._check_server(request, server))
+
+    def receive_broken(self, payload: list[list[Any]]) -> None:
+        """Take in requests that another instance saw break off."""
+        self._add_broken(
+            BrokenRequest(call, server, tuple(parts), *numbers)
+            for call, server, parts, *numbers in payload
+        )
+
+    def receive_cleared(self, payload: list[list[str]]) -> None:
+        """Take in parts that another instance saw in answers that went on."""
+        news = self._crashes.merge_cleared(
+            (part, server) for part, server in payload
+        )
+        self._check_beside(news)
+
+    def receive_blocked(self, payload: list[list[Any]]) -> None:
+        """Take in parts that another instance has blocked."""
+        self._merge(
+            BlockedParts(frozenset(parts), asked_s)
+            for parts, asked_s in payload
+        )
+
+    def receive_relayed(self, blocked: tuple[BlockedParts, ...]) -> None:
+        """Take in parts that the reader of the store knows as blocked."""
+        self._recorded.update(one.parts for one in blocked)
+        self._merge(blocked)
+
+    def apply_store(self, update: StoreUpdate) -> None:
+        """Apply a store update of the blocked parts.
+
+        A record that is missing, as after the restore of a copy, is written
+        again with the next request that is refused.
+        """
+        if isinstance(update, StoreUnavailable):
+            return
+        if isinstance(update, Listed):
+            self._recorded.clear()
+        self.receive_relayed(
+            tuple(
+                one
+                for stored in update.stored
+                if not stored.is_deleted
+                for one in self._decode(stored)
+            )
+        )
+
+    def _merge(self, blocked: Iterable[BlockedParts]) -> None:
+        news = self._blocks.merge(blocked, time.time())
+        for one in news:
+            self._log.note(
+                'Prompt parts are blocked.',
+                parts=sorted(one.parts),
+                asked_s=int(one.asked_s),
+            )
+        if news:
+            self._metrics.set_state('blocked_parts', len(self.blocked))
+            for listener in self._listeners:
+                listener(news)
+
+    async def _check_server(
+        self, request: BrokenRequest, server: ServerView
+    ) -> None:
+        probe = self._probes.get(server.name)
+        if probe is None:
+            probe = asyncio.ensure_future(self._is_gone(server.address))
+            self._probes[server.name] = probe
+            probe.add_done_callback(lambda _: self._probes.pop(server.name))
+        if await probe:
+            self._log.note(
+                'A server ended under a request.',
+                call=request.call,
+                server=server.name,
+                parts=request.parts,
+                begun=request.weight == BEGUN_WEIGHT,
+            )
+            self._metrics.noticed('crash')
+            self._announce(BROKEN_TOPIC, (astuple(request),))
+            self._add_broken((request,))
+
+    async def _is_gone(self, address: str) -> bool:
+        try:
+            connection = await self._backends.connect(address, fresh=True)
+        except ConnectError as error:
+            # No answer at all may come from a fault on the way.
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        connection.cancel()
+        return False
+
+    def _add_broken(self, requests: Iterable[BrokenRequest]) -> None:
+        news = self._crashes.merge(requests)
+        self._blame({part for request in news for part in request.parts})
+
+    def _check_beside(self, cleared: tuple[ClearedPart, ...]) -> None:
+        """Look again at the parts that were in prompts with cleared ones."""
+        if cleared:
+            self._blame(self._crashes.parts_beside(cleared))
+
+    def _blame(self, parts: Iterable[str]) -> None:
+        for part in sorted(parts):
+            blamed = self._crashes.blamed(part)
+            if blamed and not self.is_blocked(tuple(blamed)):
+                self._log.warn(
+                    'Prompt parts crash servers.',
+                    parts=sorted(blamed),
+                    servers=self._crashes.servers(part),
+                )
+                self._block(BlockedParts(blamed, time.time()))
+
+    def _block(self, blocked: BlockedParts) -> None:
+        self._merge((blocked,))
+        self._announce(
+            BLOCKED_TOPIC, ((sorted(blocked.parts), blocked.asked_s),)
+        )
+        self._recorded.add(blocked.parts)
+        self._start(self._record(blocked))
+
+    def _is_unrecorded(self, found: BlockedParts, now_s: float) -> bool:
+        is_old = now_s - found.asked_s >= UNRECORDED_S
+        return is_old and found.parts not in self._recorded
+
+    async def _record(self, blocked: BlockedParts) -> None:
+        """Write blocked parts to the store, until it has them."""
+        while not await self._try_record(blocked):
+            await asyncio.sleep(WRITE_RETRY_S)
+
+    async def _try_record(self, blocked: BlockedParts) -> bool:
+        name, body = record_name(blocked), encode_blocked(blocked)
+        try:
+            await self._store.create(BLOCKED_KIND, name, body)
+        except StoreConflictError:
+            return await self._try_replace(name, body)
+        except StoreError as error:
+            self._log.warn(
+                'Blocked parts are not recorded yet.', cause=str(error)
+            )
+            return False
+        return True
+
+    async def _try_replace(self, name: str, body: Any) -> bool:
+        try:
+            await self._store.replace(BLOCKED_KIND, name, body)
+        except StoreError as error:
+            self._log.warn(
+                'Blocked parts are not renewed yet.', cause=str(error)
+            )
+            return False
+        return True
+
+    def _decode(self, stored: StoredObject) -> Iterable[BlockedParts]:
+        try:
+            yield decode_blocked(stored.name, stored.body)
+        except FormatError as error:
+            self._log.warn(
+                'Ignored an unreadable record of blocked parts.',
+                record=stored.name,
+                cause=str(error),
+            )
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/src/siskinpass/process/fleet/reader.py
+++ b/src/siskinpass/process/fleet/reader.py
@@ -9,9 +9,11 @@
 from contextlib import contextmanager
 from functools import partial
 
+from siskinpass.platform.blocked import BLOCKED_KIND
 from siskinpass.platform.config import CONFIG_KIND
 from siskinpass.platform.servers import SERVERS_KIND
 from siskinpass.process.fleet.feed import StateFeed
+from siskinpass.process.fleet.part_guard import PartGuard
 from siskinpass.process.fleet.settings import OperatorBounds
 from siskinpass.process.fleet.state import StoredState
 from siskinpass.process.fleet.store_client import StoreClient
@@ -25,10 +27,15 @@
 # Time for which an instance goes on reading without a reason, so that a
 # follower that returns finds the state.
 LINGER_S = 5.0
+# Kinds without which the state of an instance may be out of date.
+STATE_KINDS = frozenset((CONFIG_KIND, SERVERS_KIND))
+# Instances tell each other of blocked parts, so that a lost answer of this
+# watch may be noticed late.
+BLOCKED_WAIT_S = 15.0
 
 
 class StoreReader:
-    """Owner of the two watches, which run while anyone needs them.
+    """Owner of the watches, which run while anyone needs them.
 
     :param feed: learns whether the state is that of the store.
     :param operator_bounds: determine how long a watch may wait.
@@ -38,6 +45,7 @@
         self,
         store: StoreClient,
         state: StoredState,
+        guard: PartGuard,
         feed: StateFeed,
         operator_bounds: OperatorBounds,
     ) -> None:
@@ -48,6 +56,7 @@
         self._apply = {
             CONFIG_KIND: state.apply_config,
             SERVERS_KIND: state.apply_servers,
+            BLOCKED_KIND: guard.apply_store,
         }
         self._heard: set[str] = set()
         self._users = 0
@@ -90,8 +99,9 @@
         self._feed.set_fresh(on=False)
 
     def _watch(self, kind: str) -> KindWatch:
+        wait_s = self._wait_s if kind in STATE_KINDS else _blocked_wait_s
         return KindWatch(
-            self._store, kind, self._wait_s, partial(self._receive, kind)
+            self._store, kind, wait_s, partial(self._receive, kind)
         )
 
     def _wait_s(self) -> float:
@@ -105,4 +115,8 @@
         else:
             self._heard.add(kind)
         self._apply[kind](update)
-        self._feed.set_fresh(on=len(self._heard) == len(self._apply))
+        self._feed.set_fresh(on=self._heard >= STATE_KINDS)
+
+
+def _blocked_wait_s() -> float:
+    return BLOCKED_WAIT_S
--- /dev/null
+++ b/src/siskinpass/process/fleet/request_parts.py
@@ -0,0 +1,108 @@
+"""Judge the prompt parts of one request by what becomes of its attempts."""
+
+import asyncio
+import time
+
+from siskinpass.process.fleet.answer import AttemptResult
+from siskinpass.process.fleet.part_guard import PartGuard
+from siskinpass.process.fleet.tickets import shared_part_names
+from siskinpass.process.part_crashes import (
+    BEGUN_WEIGHT,
+    WAITING_WEIGHT,
+    BrokenRequest,
+)
+from siskinpass.request.inbound import InboundRequest
+from siskinpass.request.ticket import ServerView
+
+MS_PER_S = 1000
+# Time from the first event after which an answer shows that the parts of its
+# prompt crash no server.
+SOUND_S = 0.5
+
+
+class RequestParts:
+    """Parts of one prompt that other prompts may share.
+
+    :param guard: is told what the attempts show.
+    :ivar names: names of the parts.
+    """
+
+    def __init__(self, guard: PartGuard, call: InboundRequest) -> None:
+        self._guard = guard
+        self._call_id = call.call_id
+        self._loop = asyncio.get_running_loop()
+        self._sent_s = 0.0
+        self._first_event_s = 0.0
+        self.names = shared_part_names(call.prompt)
+
+    @property
+    def is_blocked(self) -> bool:
+        """Return whether the request must not be sent."""
+        return bool(self.names) and self._guard.is_blocked(self.names)
+
+    @property
+    def has_events(self) -> bool:
+        """Return whether the current attempt has brought any event."""
+        return bool(self._first_event_s)
+
+    def check(self) -> None:
+        """Refuse the request if it would crash a server.
+
+        :raises RefusedError: if it must not be sent.
+        """
+        if self.names:
+            self._guard.check(self.names)
+
+    def start_attempt(self) -> None:
+        """Record that the request is sent to a server."""
+        self._sent_s = self._loop.time()
+        self._first_event_s = 0.0
+
+    def note_events(self) -> None:
+        """Record that events arrived; an answer that goes on is sound."""
+        now_s = self._loop.time()
+        self._first_event_s = self._first_event_s or now_s
+        if self.names and now_s - self._first_event_s >= SOUND_S:
+            self._guard.clear(self.names)
+
+    def judge(
+        self,
+        attempt_result: AttemptResult,
+        server: ServerView,
+        *,
+        is_listed: bool,
+    ) -> None:
+        """Tell the guard what the end of an attempt shows.
+
+        :param is_listed: whether the server should still be there; the end of
+            one that was leaving is no crash.
+        """
+        if not self.names:
+            return
+        if attempt_result.is_success:
+            self._guard.clear(self.names)
+        elif is_listed and _is_suspicious(attempt_result):
+            request = self._broken_request(attempt_result, server)
+            self._guard.note_broken(request, server)
+
+    def _broken_request(
+        self, attempt_result: AttemptResult, server: ServerView
+    ) -> BrokenRequest:
+        ended_s = time.time()
+        age_s = self._loop.time() - self._sent_s
+        has_begun = attempt_result.head and not attempt_result.has_progressed
+        return BrokenRequest(
+            self._call_id,
+            f'{server.name}/{server.incarnation}',
+            self.names,
+            BEGUN_WEIGHT if has_begun else WAITING_WEIGHT,
+            int((ended_s - age_s) * MS_PER_S),
+            int(ended_s * MS_PER_S),
+        )
+
+
+def _is_suspicious(attempt_result: AttemptResult) -> bool:
+    """Return whether the answer broke off before it could prove sound."""
+    head_age_s = attempt_result.head_age_s or 0.0
+    is_sound = attempt_result.has_progressed and head_age_s >= SOUND_S
+    return attempt_result.is_broken_off and not is_sound
--- a/src/siskinpass/process/fleet/source.py
+++ b/src/siskinpass/process/fleet/source.py
@@ -14,6 +14,7 @@
 from siskinpass.process import peer_pb2 as pb
 from siskinpass.process.fleet.feed import StateFeed, decode_update
 from siskinpass.process.fleet.members import FleetMembers
+from siskinpass.process.fleet.part_guard import PartGuard
 from siskinpass.process.fleet.reader import StoreReader
 from siskinpass.process.fleet.roles import reader_order, readers
 from siskinpass.process.fleet.state import StoredState
@@ -50,6 +51,7 @@
     reader: StoreReader
     state: StoredState
     feed: StateFeed
+    guard: PartGuard
     small_fleet: int
 
 
@@ -189,8 +191,10 @@
         store, too.
         """
         is_wanted = update.is_fresh or not self._parts.state.ready.is_set()
+        relayed = decode_update(update)
         if is_wanted and update.config_version:
-            self._parts.state.apply_relayed(decode_update(update))
+            self._parts.state.apply_relayed(relayed)
+        self._parts.guard.receive_relayed(relayed.blocked)
         return update.is_fresh
 
     async def _wait_fresh(self) -> None:
--- a/src/siskinpass/process/fleet/state.py
+++ b/src/siskinpass/process/fleet/state.py
@@ -9,6 +9,7 @@
 from siskinpass.platform.config import CONFIG_NAME, decode_config
 from siskinpass.platform.objects import StoredObject
 from siskinpass.platform.servers import decode_server
+from siskinpass.process.blocked_parts import BlockedParts
 from siskinpass.process.fleet.watch import (
     Changed,
     Listed,
@@ -30,12 +31,14 @@
         not changed.
     :param servers: new and changed servers.
     :param removed: names of the servers that have left.
+    :param blocked: prompt parts that crash servers; nothing if none was added.
     """
 
     is_full: bool
     config: Any = None
     servers: tuple[ServerView, ...] = ()
     removed: tuple[str, ...] = ()
+    blocked: tuple[BlockedParts, ...] = ()
 
 
 class StoredState:
--- a/src/siskinpass/process/fleet/tickets.py
+++ b/src/siskinpass/process/fleet/tickets.py
@@ -10,6 +10,9 @@
 
 MAX_URGENCY = 9
 KEY_BYTES = 8
+# Limits of what instances tell each other of a prompt.
+MAX_NAME_LENGTH = 64
+MAX_NAMED_PARTS = 32
 # A request waits for a server for at most this fraction of its remaining time.
 # Waiting longer would make the answer late, which lowers its value; refusing
 # sooner would lose the whole value.
@@ -78,6 +81,17 @@
     )
 
 
+def shared_part_names(prompt: Prompt) -> tuple[str, ...]:
+    """Return the names of the parts that other prompts may share.
+
+    Long names, which callers choose, are replaced by hashes.
+    """
+    return tuple(
+        part.key if len(part.key) <= MAX_NAME_LENGTH else f'{_hash(part.key):x}'
+        for part in prompt.shared_parts[:MAX_NAMED_PARTS]
+    )
+
+
 def engine_urgency(tier: int) -> int:
     """Return the urgency to send to the server, the tier within 0 to 9."""
     return min(MAX_URGENCY, max(0, tier))
--- /dev/null
+++ b/src/siskinpass/process/part_crashes.py
@@ -0,0 +1,176 @@
+"""Find the prompt parts that crash backend servers.
+
+Pure logic. On some parts a server's process ends as soon as it begins to write
+an answer, whatever else the prompt holds. A crash also cuts off sound requests,
+and those that crash servers share most of their parts with sound ones. So
+
+- parts are blamed only after several crashes one after the other. Of requests
+  that were open at the same time one counts, since servers may end together for
+  another reason;
+- an answer that goes on clears all parts of its prompt of the crashes before;
+- as long as several parts may be to blame, only their combination is blamed.
+
+Instances report to each other what they saw. Reports may be lost, repeated and
+reordered; the outcome depends only on which of them have arrived.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+# Weights of a crash. A server that had sent the head of an answer and nothing
+# of its body was just beginning to write it; one that had sent no head may not
+# have looked at the request at all.
+BEGUN_WEIGHT = 5
+WAITING_WEIGHT = 3
+# Three crashes as an answer began, or five of requests that waited.
+BLAME_WEIGHT = 15
+# The oldest are forgotten.
+MAX_REQUESTS = 1000
+MAX_CLEARED = 10_000
+
+ClearedPart = tuple[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class BrokenRequest:
+    """A request that was cut off when a server's process ended.
+
+    :param call: id of the request.
+    :param server: the process that ended.
+    :param parts: names of the parts that other prompts may share.
+    :param weight: how much the crash speaks against them.
+    :param sent_ms: when the request was sent, in Unix ms.
+    :param ended_ms: when its answer broke off, in Unix ms.
+    """
+
+    call: str
+    server: str
+    parts: tuple[str, ...]
+    weight: int
+    sent_ms: int
+    ended_ms: int
+
+
+class PartCrashes:
+    """Requests that crashes cut off, as reported by all instances."""
+
+    def __init__(self) -> None:
+        self._requests: OrderedDict[tuple[str, str], BrokenRequest] = (
+            OrderedDict()
+        )
+        self._cleared: OrderedDict[ClearedPart, None] = OrderedDict()
+        # By part and server, without what was cleared.
+        self._suspected: dict[str, dict[str, list[BrokenRequest]]] = {}
+
+    def merge(
+        self, requests: Iterable[BrokenRequest]
+    ) -> tuple[BrokenRequest, ...]:
+        """Add reports and return those that were news."""
+        news = []
+        for request in requests:
+            key = (request.server, request.call)
+            if key not in self._requests:
+                self._requests[key] = request
+                self._suspect(request)
+                news.append(request)
+        while len(self._requests) > MAX_REQUESTS:
+            _, oldest = self._requests.popitem(last=False)
+            self._forget(oldest)
+        return tuple(news)
+
+    def merge_cleared(
+        self, cleared: Iterable[ClearedPart]
+    ) -> tuple[ClearedPart, ...]:
+        """Clear parts of the crashes of single servers.
+
+        :param cleared: names of a part and of a process that ended.
+        :returns: those that were news.
+        """
+        news = tuple(pair for pair in cleared if pair not in self._cleared)
+        self._cleared.update(dict.fromkeys(news))
+        for part, server in news:
+            self._drop(part, server)
+        while len(self._cleared) > MAX_CLEARED:
+            self._cleared.popitem(last=False)
+        return news
+
+    def clear(self, parts: Iterable[str]) -> tuple[ClearedPart, ...]:
+        """Clear parts of all crashes known so far, as an answer went on.
+
+        :returns: what was not known before.
+        """
+        return self.merge_cleared([
+            (part, server)
+            for part in parts
+            for server in self._suspected.get(part, ())
+        ])
+
+    def blamed(self, part: str) -> frozenset[str]:
+        """Return the parts that crash servers together with a given one.
+
+        :returns: the given part alone, if no other one was in the prompts of
+            all crashes; empty if it is not to blame.
+        """
+        weight = 0
+        ended_ms = 0
+        common: frozenset[str] | None = None
+        crashes = self._suspected.get(part, {}).values()
+        for crash in sorted(crashes, key=_end):
+            suspects = self._suspects(crash)
+            common = suspects if common is None else common & suspects
+            later = [one for one in crash if one.sent_ms >= ended_ms]
+            if later:
+                weight += max(one.weight for one in later)
+                ended_ms = max(one.ended_ms for one in crash)
+        if common is None or weight < BLAME_WEIGHT:
+            return frozenset()
+        return common
+
+    def parts_beside(self, cleared: Iterable[ClearedPart]) -> frozenset[str]:
+        """Return the parts that were suspected together with cleared ones."""
+        pairs = frozenset(cleared)
+        return frozenset(
+            part
+            for request in self._requests.values()
+            if any((one, request.server) in pairs for one in request.parts)
+            for part in request.parts
+            if part in self._suspected
+        )
+
+    def servers(self, part: str) -> list[str]:
+        """Return the processes whose ends speak against a part."""
+        return sorted(self._suspected.get(part, ()))
+
+    def _suspects(self, crash: Iterable[BrokenRequest]) -> frozenset[str]:
+        """Return the parts that one crash speaks against."""
+        return frozenset(
+            part
+            for request in crash
+            for part in request.parts
+            if (part, request.server) not in self._cleared
+        )
+
+    def _suspect(self, request: BrokenRequest) -> None:
+        for part in request.parts:
+            if (part, request.server) not in self._cleared:
+                by_server = self._suspected.setdefault(part, {})
+                by_server.setdefault(request.server, []).append(request)
+
+    def _forget(self, request: BrokenRequest) -> None:
+        for part in request.parts:
+            crash = self._suspected.get(part, {}).get(request.server, [])
+            if request in crash:
+                crash.remove(request)
+            if not crash:
+                self._drop(part, request.server)
+
+    def _drop(self, part: str, server: str) -> None:
+        by_server = self._suspected.get(part, {})
+        by_server.pop(server, None)
+        if not by_server:
+            self._suspected.pop(part, None)
+
+
+def _end(crash: list[BrokenRequest]) -> tuple[int, str]:
+    return min(one.ended_ms for one in crash), crash[0].server
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -1,11 +1,16 @@
 """Test prompt parts that crash the backend servers."""
 
 import asyncio
+import re
 from contextlib import asynccontextmanager
 
+import pytest
+
+from siskinpass.codes import MEANINGS, Code
+from siskinpass.process.fleet.settings import SMALL_FLEET
 from standins.fleet import RestartingServer, shared_parts
 from tests.fleet import free_ports, running_fleet, server_entry, wait_until
-from tests.test_fleet import WHOLE
+from tests.test_fleet import WHOLE, run_scenario
 
 BAD = 'bad0'
 SHARED = 'sys0'
@@ -100,3 +105,113 @@
             assert bad_arrivals(servers) - before <= BUDGET_REQUESTS
 
         run_crashing(scenario)
+
+    def test_sound_requests_with_the_other_parts_go_on(self):
+        """Only the part is refused, not its caller or the parts beside it."""
+
+        async def scenario(fleet, servers):
+            await crash_servers(fleet, servers)
+            await _is_blocked_everywhere(fleet)
+            for name in fleet.processes:
+                call = f'sound-{name}'
+                answer = await ask_with(fleet, name, SHARED, 'ok1', call=call)
+                assert (answer.status, answer.body) == (200, WHOLE)
+                refused = await ask_with(fleet, name, SHARED, BAD, call=call)
+                assert refused.status == MEANINGS[Code.part_blocked].status
+                assert float(refused.header('Retry-After')) > CONTACT_S
+
+        run_crashing(scenario)
+
+    @pytest.mark.parametrize('small_fleet', [SMALL_FLEET, 1])
+    def test_restarted_fleet_knows_the_part(self, small_fleet):
+        """The block outlives all instances, whoever reads the store."""
+
+        async def scenario(fleet, servers):
+            await crash_servers(fleet, servers)
+            await _is_blocked_everywhere(fleet)
+            await wait_until(
+                lambda: fleet.store.names('siskinpass-blocked-parts'),
+                'the record',
+            )
+            before = bad_arrivals(servers)
+            for name, process in tuple(fleet.processes.items()):
+                process.kill()
+                await process.wait()
+                await fleet.start(name)
+            await _is_blocked_everywhere(fleet)
+            assert bad_arrivals(servers) == before
+
+        run_crashing(scenario, instances=4, small_fleet=small_fleet)
+
+    def test_instances_agree_without_the_store(self):
+        """A part is blocked everywhere while the store does not answer."""
+
+        async def scenario(fleet, servers):
+            await fleet.store.take_down()
+            await crash_servers(fleet, servers)
+            await _is_blocked_everywhere(fleet)
+            fleet.store.is_down = False
+            await wait_until(
+                lambda: fleet.store.names('siskinpass-blocked-parts'),
+                'the record',
+            )
+
+        run_crashing(scenario)
+
+    def test_restored_store_gets_the_record_again(self):
+        """A copy without the record does not end the block."""
+
+        async def scenario(fleet, servers):
+            copy = fleet.store.copy()
+            await crash_servers(fleet, servers)
+            await _is_blocked_everywhere(fleet)
+            await fleet.store.restore(copy)
+            await wait_until(lambda: b'restored' in fleet.log, 'the new era')
+
+            async def is_recorded_again():
+                await _is_blocked_everywhere(fleet)
+                return fleet.store.names('siskinpass-blocked-parts')
+
+            await wait_until(is_recorded_again, 'the record')
+
+        run_crashing(scenario)
+
+
+class TestOtherFailures:
+    """Test failures that are no crash under a part."""
+
+    @pytest.mark.parametrize('fault', ['cuts', 'hang_ups'])
+    def test_reset_connections_block_nothing(self, fault):
+        """A server that still accepts connections has not crashed."""
+
+        async def scenario(fleet):
+            for number in range(MAX_REQUESTS):
+                for server in fleet.servers:
+                    setattr(server.faults, fault, 1)
+                call = f'call-{number}'
+                await ask_with(fleet, 'front-1', SHARED, BAD, call=call)
+            for server in fleet.servers:
+                setattr(server.faults, fault, 0)
+            answer = await ask_with(fleet, 'front-1', SHARED, BAD)
+            assert answer.body == WHOLE
+
+        run_scenario(scenario)
+
+
+async def _is_blocked_everywhere(fleet):
+    for name in fleet.processes:
+        await wait_until(
+            lambda name=name: _is_refused(fleet, name), f'a refusal by {name}'
+        )
+
+
+async def _is_refused(fleet, name):
+    """Return whether an instance refuses the part, sending it to no server."""
+    try:
+        metrics = await fleet.get('/metrics', 4, name)
+    except OSError:
+        return False
+    if not re.search(rb'name="blocked_parts"} [1-9]', metrics.body):
+        return False
+    answer = await ask_with(fleet, name, SHARED, BAD, call=f'probe-{name}')
+    return answer.status == MEANINGS[Code.part_blocked].status
