Test answers with neither a length nor chunks through the fleet

The stand-in servers can send such answers. Streams of them are whole only if they end after an event, and are resumed or cut otherwise; plain ones are whole at a regular close.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -238,6 +238,8 @@
     :param crashing_parts: prompt parts under which the server's process ends as
         soon as it begins an answer.
     :param on_crash: called when it does.
+    :param is_framed: whether answers have a length or chunks; the others end
+        with their connection.
     """
 
     name: str
@@ -251,6 +253,7 @@
     sent_bytes: int = 0
     crashing_parts: frozenset[str] = frozenset()
     on_crash: Callable[[], None] | None = None
+    is_framed: bool = True
 
     async def __call__(self, request: Request) -> Response:
         """Return the response to a request.
@@ -258,7 +261,11 @@
         :raises HangUpError: if a fault closes the connection.
         """
         response = await self._respond(request)
-        return replace(response, headers={**response.headers, **self.notices})
+        return replace(
+            response,
+            headers={**response.headers, **self.notices},
+            is_framed=self.is_framed,
+        )
 
     async def _respond(self, request: Request) -> Response:
         self.arrivals.append(request.headers.get('x-attempt-id', ''))
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -35,12 +35,15 @@
 
     :param stream: chunks of the body, sent as they come; ``body`` is ignored
         if this is set.
+    :param is_framed: whether the body is sent with a length or in chunks; one
+        without either ends with its connection.
     """
 
     status: int = 200
     body: bytes = b''
     headers: Mapping[str, str] = field(default_factory=dict)
     stream: AsyncIterator[bytes] | None = None
+    is_framed: bool = True
 
 
 class HangUpError(Exception):
@@ -178,6 +181,9 @@
     async def _write(self, response: Response) -> None:
         lines = [f'HTTP/1.1 {response.status} Stand-in']
         lines.extend(f'{key}: {text}' for key, text in response.headers.items())
+        if not response.is_framed:
+            await self._write_unframed(lines, response)
+            return
         if response.stream is None:
             lines.append(f'Content-Length: {len(response.body)}')
             head = '\r\n'.join(lines) + '\r\n\r\n'
@@ -189,3 +195,15 @@
             await self._writable.wait()
             self._transport.write(b'%x\r\n%b\r\n' % (len(chunk), chunk))
         self._transport.write(b'0\r\n\r\n')
+
+    async def _write_unframed(
+        self, lines: list[str], response: Response
+    ) -> None:
+        self._transport.write(('\r\n'.join(lines) + '\r\n\r\n').encode())
+        if response.stream is None:
+            self._transport.write(response.body)
+        else:
+            async for chunk in response.stream:
+                await self._writable.wait()
+                self._transport.write(chunk)
+        self._transport.close()
