Take the close after a skipped answer for no answer

What callers saw: nothing yet; found by reading. A late answer to another request, with neither a length nor chunks, ended by its close the request that waited on the connection as if its own answer were complete.

Cause: the close was taken for the end of the answer although the answer was being skipped. The waiting request had no head then, which failed its task.

Test before: test_close_after_skipped_answer_is_no_answer got 'whole'; after: 'cut', which is retried or told as unknown.

--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -104,7 +104,7 @@
         """
         sock = self._transport.get_extra_info('socket')
         error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if self._ends_at_close and not error:
+        if self._ends_at_close and not self._is_skipping and not error:
             self._end()
         return False
 
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -97,6 +97,12 @@
         found = asyncio.run(fetch([late + SIZED], reset=False, skip=1))
         assert found == ('whole', b'body')
 
+    @pytest.mark.parametrize('run', [asyncio.run, uvloop.run])
+    def test_close_after_skipped_answer_is_no_answer(self, run):
+        """The close that ends another request's answer ends no other one."""
+        found = run(fetch([UNFRAMED], reset=False, skip=1))
+        assert found == ('cut', b'')
+
     @pytest.mark.parametrize('run', [asyncio.run, uvloop.run])
     @pytest.mark.parametrize(
         'noise',
