Record in the store which requests a crash cut off

What callers would see: after a kill of all instances the crashes before it were forgotten, and a part had to crash three more servers. The same holds for an instance that no announcement reaches.

Cause: the evidence was kept in memory and told by datagrams only.

Change: a request that a crash cut off as its answer began is recorded under siskinpass-prompt-parts, the kind that has the blocks, so that no further watch is needed. Records expire after ten minutes, and whoever reads an expired one removes it.

After: a fleet that was killed after two crashes needs one more, in a small fleet and in one that follows readers.

--- a/src/siskinpass/process/fleet/part_guard.py
+++ b/src/siskinpass/process/fleet/part_guard.py
@@ -2,8 +2,9 @@
 
 Each instance sees only its own requests end, so that instances tell each other
 which requests a crash cut off and which parts were in answers that went on.
-Whichever first knows enough blocks the part, tells the others and records the
-block in the store, where instances find it that start later.
+Whichever first knows enough blocks the part and tells the others. Blocks, and
+requests that a crash cut off as their answers began, are also recorded in the
+store, for instances that start later or did not hear of them.
 """
 
 import asyncio
@@ -21,13 +22,14 @@
     StoreConflictError,
     StoreError,
 )
-from siskinpass.platform.blocked import (
-    BLOCKED_KIND,
-    decode_blocked,
-    encode_blocked,
+from siskinpass.platform.objects import StoredObject
+from siskinpass.platform.part_records import (
+    PARTS_KIND,
+    PartRecord,
+    decode_record,
+    encode_record,
     record_name,
 )
-from siskinpass.platform.objects import StoredObject
 from siskinpass.process.blocked_parts import BLOCK_S, BlockedParts, BlockList
 from siskinpass.process.fleet.store_client import StoreClient
 from siskinpass.process.fleet.watch import Listed, StoreUnavailable, StoreUpdate
@@ -47,6 +49,8 @@
 CLEARED_TOPIC = 'cleared'
 BLOCKED_TOPIC = 'blocked'
 WRITE_RETRY_S = 1.0
+# Age at which the record of a request that a crash cut off has expired.
+EVIDENCE_S = 600.0
 
 # An instance that refuses a request records its parts if the one that blocked
 # them seems to have failed to.
@@ -163,13 +167,17 @@
             return
         if isinstance(update, Listed):
             self._recorded.clear()
+        records = [
+            one
+            for stored in update.stored
+            if not stored.is_deleted
+            for one in self._decode(stored)
+        ]
         self.receive_relayed(
-            tuple(
-                one
-                for stored in update.stored
-                if not stored.is_deleted
-                for one in self._decode(stored)
-            )
+            tuple(one for one in records if isinstance(one, BlockedParts))
+        )
+        self._add_broken(
+            one for one in records if isinstance(one, BrokenRequest)
         )
 
     def _merge(self, blocked: Iterable[BlockedParts]) -> None:
@@ -203,6 +211,8 @@
             )
             self._metrics.noticed('crash')
             self._announce(BROKEN_TOPIC, (astuple(request),))
+            if request.weight == BEGUN_WEIGHT:
+                self._start(self._record(request))
             self._add_broken((request,))
 
     async def _is_gone(self, address: str) -> bool:
@@ -246,45 +256,61 @@
         is_old = now_s - found.asked_s >= UNRECORDED_S
         return is_old and found.parts not in self._recorded
 
-    async def _record(self, blocked: BlockedParts) -> None:
-        """Write blocked parts to the store, until it has them."""
-        while not await self._try_record(blocked):
+    async def _record(self, record: PartRecord) -> None:
+        """Write a record to the store, until it has it."""
+        while not await self._try_record(record):
             await asyncio.sleep(WRITE_RETRY_S)
 
-    async def _try_record(self, blocked: BlockedParts) -> bool:
-        name, body = record_name(blocked), encode_blocked(blocked)
+    async def _try_record(self, record: PartRecord) -> bool:
+        name, body = record_name(record), encode_record(record)
         try:
-            await self._store.create(BLOCKED_KIND, name, body)
-        except StoreConflictError:
-            return await self._try_replace(name, body)
+            await self._write(name, body)
         except StoreError as error:
             self._log.warn(
-                'Blocked parts are not recorded yet.', cause=str(error)
+                'Prompt parts are not recorded yet.',
+                record=name,
+                cause=str(error),
             )
             return False
         return True
 
-    async def _try_replace(self, name: str, body: Any) -> bool:
+    async def _write(self, name: str, body: dict[str, Any]) -> None:
         try:
-            await self._store.replace(BLOCKED_KIND, name, body)
+            await self._store.create(PARTS_KIND, name, body)
+        except StoreConflictError:
+            await self._store.replace(PARTS_KIND, name, body)
+
+    async def _remove(self, name: str) -> None:
+        try:
+            await self._store.delete(PARTS_KIND, name)
         except StoreError as error:
             self._log.warn(
-                'Blocked parts are not renewed yet.', cause=str(error)
+                'An expired record stays.', record=name, cause=str(error)
             )
-            return False
-        return True
 
-    def _decode(self, stored: StoredObject) -> Iterable[BlockedParts]:
+    def _decode(self, stored: StoredObject) -> Iterable[PartRecord]:
+        """Return the record of an object; an expired one is removed."""
         try:
-            yield decode_blocked(stored.name, stored.body)
+            record = decode_record(stored.name, stored.body)
         except FormatError as error:
             self._log.warn(
-                'Ignored an unreadable record of blocked parts.',
+                'Ignored an unreadable record of prompt parts.',
                 record=stored.name,
                 cause=str(error),
             )
+            return
+        if _is_current(record, time.time()):
+            yield record
+        else:
+            self._start(self._remove(stored.name))
 
     def _start(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _is_current(record: PartRecord, now_s: float) -> bool:
+    if isinstance(record, BlockedParts):
+        return record.is_current(now_s)
+    return now_s - record.ended_ms / MS_PER_S < EVIDENCE_S
--- a/src/siskinpass/process/fleet/reader.py
+++ b/src/siskinpass/process/fleet/reader.py
@@ -9,8 +9,8 @@
 from contextlib import contextmanager
 from functools import partial
 
-from siskinpass.platform.blocked import BLOCKED_KIND
 from siskinpass.platform.config import CONFIG_KIND
+from siskinpass.platform.part_records import PARTS_KIND
 from siskinpass.platform.servers import SERVERS_KIND
 from siskinpass.process.fleet.feed import StateFeed
 from siskinpass.process.fleet.part_guard import PartGuard
@@ -29,9 +29,9 @@
 LINGER_S = 5.0
 # Kinds without which the state of an instance may be out of date.
 STATE_KINDS = frozenset((CONFIG_KIND, SERVERS_KIND))
-# Instances tell each other of blocked parts, so that a lost answer of this
-# watch may be noticed late.
-BLOCKED_WAIT_S = 15.0
+# Instances tell each other of parts that crash servers, so that a lost answer
+# of this watch may be noticed late.
+PARTS_WAIT_S = 15.0
 
 
 class StoreReader:
@@ -56,7 +56,7 @@
         self._apply = {
             CONFIG_KIND: state.apply_config,
             SERVERS_KIND: state.apply_servers,
-            BLOCKED_KIND: guard.apply_store,
+            PARTS_KIND: guard.apply_store,
         }
         self._heard: set[str] = set()
         self._users = 0
@@ -99,7 +99,7 @@
         self._feed.set_fresh(on=False)
 
     def _watch(self, kind: str) -> KindWatch:
-        wait_s = self._wait_s if kind in STATE_KINDS else _blocked_wait_s
+        wait_s = self._wait_s if kind in STATE_KINDS else _parts_wait_s
         return KindWatch(
             self._store, kind, wait_s, partial(self._receive, kind)
         )
@@ -118,5 +118,5 @@
         self._feed.set_fresh(on=self._heard >= STATE_KINDS)
 
 
-def _blocked_wait_s() -> float:
-    return BLOCKED_WAIT_S
+def _parts_wait_s() -> float:
+    return PARTS_WAIT_S
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -285,7 +285,7 @@
                 lambda name=name: fleet.is_ready(name), f'{name} to be ready'
             )
             await wait_until(
-                lambda name=name: _accepts(fleet.ports[name][2]),
+                lambda name=name: accepts(fleet.ports[name][2]),
                 f'{name} to serve',
             )
         yield fleet
@@ -303,7 +303,8 @@
     } | more
 
 
-async def _accepts(port):
+async def accepts(port):
+    """Return whether anything listens on a port."""
     try:
         _, writer = await asyncio.open_connection('127.0.0.1', port)
     except OSError:
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -9,7 +9,13 @@
 from siskinpass.codes import MEANINGS, Code
 from siskinpass.process.fleet.settings import SMALL_FLEET
 from standins.fleet import RestartingServer, shared_parts
-from tests.fleet import free_ports, running_fleet, server_entry, wait_until
+from tests.fleet import (
+    accepts,
+    free_ports,
+    running_fleet,
+    server_entry,
+    wait_until,
+)
 from tests.test_fleet import WHOLE, run_scenario
 
 BAD = 'bad0'
@@ -129,20 +135,32 @@
         async def scenario(fleet, servers):
             await crash_servers(fleet, servers)
             await _is_blocked_everywhere(fleet)
-            await wait_until(
-                lambda: fleet.store.names('siskinpass-blocked-parts'),
-                'the record',
-            )
+            await wait_until(lambda: _records(fleet, 'blocked'), 'the record')
             before = bad_arrivals(servers)
-            for name, process in tuple(fleet.processes.items()):
-                process.kill()
-                await process.wait()
-                await fleet.start(name)
+            await _restart_all(fleet)
             await _is_blocked_everywhere(fleet)
             assert bad_arrivals(servers) == before
 
         run_crashing(scenario, instances=4, small_fleet=small_fleet)
 
+    @pytest.mark.parametrize('small_fleet', [SMALL_FLEET, 1])
+    def test_crashes_before_a_restart_count(self, small_fleet):
+        """A fleet that was killed needs only one more crash."""
+
+        async def scenario(fleet, servers):
+            for number in range(2):
+                await ask_with(fleet, 'front-1', BAD, call=f'bad-{number}')
+            await wait_until(
+                lambda: len(_records(fleet, 'broken')) == 2, 'the records'
+            )
+            await _restart_all(fleet)
+            await wait_until(lambda: _is_served(fleet, 'front-3'), 'front-3')
+            await ask_with(fleet, 'front-3', BAD, call='bad-3')
+            await _is_blocked_everywhere(fleet)
+            assert sum(server.crashes for server in servers) == 3
+
+        run_crashing(scenario, instances=4, small_fleet=small_fleet)
+
     def test_instances_agree_without_the_store(self):
         """A part is blocked everywhere while the store does not answer."""
 
@@ -151,10 +169,7 @@
             await crash_servers(fleet, servers)
             await _is_blocked_everywhere(fleet)
             fleet.store.is_down = False
-            await wait_until(
-                lambda: fleet.store.names('siskinpass-blocked-parts'),
-                'the record',
-            )
+            await wait_until(lambda: _records(fleet, 'blocked'), 'the record')
 
         run_crashing(scenario)
 
@@ -170,7 +185,7 @@
 
             async def is_recorded_again():
                 await _is_blocked_everywhere(fleet)
-                return fleet.store.names('siskinpass-blocked-parts')
+                return _records(fleet, 'blocked')
 
             await wait_until(is_recorded_again, 'the record')
 
@@ -209,9 +224,24 @@
     """Return whether an instance refuses the part, sending it to no server."""
     try:
         metrics = await fleet.get('/metrics', 4, name)
+        if not re.search(rb'name="blocked_parts"} [1-9]', metrics.body):
+            return False
+        answer = await ask_with(fleet, name, SHARED, BAD, call=f'probe-{name}')
     except OSError:
         return False
-    if not re.search(rb'name="blocked_parts"} [1-9]', metrics.body):
-        return False
-    answer = await ask_with(fleet, name, SHARED, BAD, call=f'probe-{name}')
     return answer.status == MEANINGS[Code.part_blocked].status
+
+
+async def _restart_all(fleet):
+    for name, process in tuple(fleet.processes.items()):
+        process.kill()
+        await process.wait()
+        await fleet.start(name)
+    for name, (port, *_) in fleet.ports.items():
+        await wait_until(lambda port=port: accepts(port), f'{name} to listen')
+
+
+def _records(fleet, kind):
+    """Return the names of the records of one kind in the store."""
+    names = fleet.store.names('siskinpass-prompt-parts')
+    return [name for name in names if name.startswith(f'{kind}-')]
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -9,9 +9,16 @@
 from siskinpass.platform import directory, objects
 from siskinpass.platform.check import find_faults
 from siskinpass.platform.config import decode_config
+from siskinpass.platform.part_records import (
+    decode_record,
+    encode_record,
+    record_name,
+)
 from siskinpass.platform.servers import decode_server
 from siskinpass.platform.settings_file import decode_settings
+from siskinpass.process.blocked_parts import BlockedParts
 from siskinpass.process.membership import Member
+from siskinpass.process.part_crashes import BrokenRequest
 from siskinpass.version.routes import RepeatPolicy
 
 SETTINGS = """
@@ -269,3 +276,41 @@
         assert directory.decode_member(stored) == member
         assert directory.decode_member({'other': 1}) is None
         assert directory.decode_member(None) is None
+
+
+BROKEN = BrokenRequest('c/1', 'i-1/5', ('a', 'b'), 5, 1000, 1200)
+
+
+class TestPartRecords:
+    """Test the records about prompt parts that crash servers."""
+
+    @pytest.mark.parametrize(
+        ('record', 'name'),
+        [
+            (BlockedParts(frozenset(('a', 'b')), 12.5), 'blocked-'),
+            (BROKEN, 'broken-'),
+        ],
+    )
+    def test_reads_what_was_written(self, record, name):
+        """A record comes back unchanged, under a name without any text."""
+        body = orjson.loads(orjson.dumps(encode_record(record)))
+        assert decode_record('n', body) == record
+        assert record_name(record).startswith(name)
+        assert '/' not in record_name(record)
+
+    @pytest.mark.parametrize(
+        'body',
+        [
+            None,
+            {},
+            {'parts': [], 'asked-s': 1},
+            {'parts': [1], 'asked-s': 1},
+            {'parts': ['a'], 'asked-s': 'x'},
+            {'broken': 1},
+            {'broken': {'call': 'c', 'server': 's', 'parts': ['a']}},
+        ],
+    )
+    def test_refuses_unreadable_records(self, body):
+        """A record that another writer spoiled is not guessed at."""
+        with pytest.raises(FormatError):
+            decode_record('n', body)
