Decode and log the limits that servers name

Change: answers' notices carry limit_per_s; 'notices' lines and a counter tell when a server's limit changes. No decision changes.

--- a/src/siskinpass/platform/headers.py
+++ b/src/siskinpass/platform/headers.py
@@ -16,6 +16,7 @@
 
 CALL_ID = b'x-attempt-id'
 LEAVING = b'server-leaving'
+LIMIT = b'server-limit'
 RETRY_AFTER = b'retry-after'
 RECEIPT = b'x-server-seal'
 NOT_RUN = b'x-not-executed'
@@ -111,23 +112,30 @@
     )
 
 
-def _decode_notice(status: int, by_name: dict[bytes, bytes]) -> ServerNotice:
+def _decode_notice(
+    status: int, by_name: dict[bytes, bytes]
+) -> ServerNotice | None:
     # A 421 comes from a server other than the one that the request was for.
     if status == STATUS_MISDIRECTED:
-        return ServerNotice()
+        return None
     leaving = _header_text(by_name, LEAVING)
     pause = ''
     if status == STATUS_UNAVAILABLE:
         pause = _header_text(by_name, RETRY_AFTER)
-    pause_s = _finite_seconds(pause)
+    limit = _header_text(by_name, LIMIT)
+    pause_s = _finite_number(pause)
+    limit_per_s = _finite_number(limit)
     unreadable = []
     if leaving not in FLAG_VALUES:
         unreadable.append(f'{LEAVING.decode()}: {leaving:.60}')
     if pause and pause_s is None:
         unreadable.append(f'{RETRY_AFTER.decode()}: {pause:.60}')
+    if limit and limit_per_s is None:
+        unreadable.append(f'{LIMIT.decode()}: {limit:.60}')
     return ServerNotice(
         is_leaving=leaving == FLAG_SET,
         pause_s=pause_s or 0.0,
+        limit_per_s=limit_per_s,
         unreadable=tuple(unreadable),
     )
 
@@ -195,12 +203,12 @@
     return 0.0
 
 
-def _finite_seconds(text: str) -> float | None:
+def _finite_number(text: str) -> float | None:
     try:
-        seconds = float(text)
+        number = float(text)
     except ValueError:
         return None
-    return seconds if math.isfinite(seconds) and seconds >= 0 else None
+    return number if math.isfinite(number) and number >= 0 else None
 
 
 def _header_text(by_name: dict[bytes, bytes], name: bytes) -> str:
--- a/src/siskinpass/process/fleet/answer.py
+++ b/src/siskinpass/process/fleet/answer.py
@@ -151,7 +151,7 @@
         head = decode_answer(status, headers)
         if head.call_id and head.call_id != self._call_id:
             return False
-        if not head.notice.is_empty:
+        if head.notice is not None:
             self._on_notice(head.notice)
         self._head = head
         self._head_s = self._loop.time()
--- a/src/siskinpass/process/fleet/notices.py
+++ b/src/siskinpass/process/fleet/notices.py
@@ -26,6 +26,7 @@
         self._pauses = pauses
         self._on_leaving = on_leaving
         self._metrics = metrics
+        self._limits: dict[str, float | None] = {}
         self._loop = asyncio.get_running_loop()
         self._log = ComponentLog('notices')
 
@@ -46,6 +47,22 @@
                 server=server.name,
                 cause='; '.join(notice.unreadable),
             )
+        else:
+            self._note_limit(server, notice.limit_per_s)
+
+    def _note_limit(
+        self, server: ServerView, limit_per_s: float | None
+    ) -> None:
+        """Log a server's limit when it changes."""
+        if limit_per_s == self._limits.get(server.name):
+            return
+        self._metrics.noticed('limit')
+        self._limits[server.name] = limit_per_s
+        self._log.note(
+            'A server named another limit.',
+            server=server.name,
+            limit_per_s=limit_per_s,
+        )
 
     def _start_pause(self, server: ServerView, pause_s: float) -> None:
         self._metrics.noticed('pause')
--- a/src/siskinpass/request/inbound.py
+++ b/src/siskinpass/request/inbound.py
@@ -137,19 +137,17 @@
         requests.
     :param pause_s: time for which the server wants no requests from this
         instance, in seconds; 0 for none.
+    :param limit_per_s: requests a second that the server takes from all
+        instances together, ``None`` if it names no limit.
     :param unreadable: headers whose values could not be read; they change
         nothing.
     """
 
     is_leaving: bool = False
     pause_s: float = 0.0
+    limit_per_s: float | None = None
     unreadable: tuple[str, ...] = ()
 
-    @property
-    def is_empty(self) -> bool:
-        """Return whether the server says nothing about itself."""
-        return not (self.is_leaving or self.pause_s or self.unreadable)
-
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
@@ -163,7 +161,8 @@
     :param idle_s: how long the server keeps an idle connection open, 0 where
         it does not say.
     :param headers: headers to pass on to the caller.
-    :param notice: what the server says about itself.
+    :param notice: what the server says about itself, ``None`` if another
+        server than the one that was asked has answered.
     """
 
     status: int
@@ -173,7 +172,7 @@
     is_encoded: bool = False
     idle_s: float = 0.0
     headers: tuple[Header, ...] = ()
-    notice: ServerNotice = field(default_factory=ServerNotice)
+    notice: ServerNotice | None = None
 
     @property
     def is_success(self) -> bool:
