--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -232,6 +232,7 @@
     :param events: number of events of a stream.
     :param runs: requests run so far.
     :param arrivals: ids of the requests that arrived, run or not.
+    :param arrival_times_s: when they arrived, on the event loop's clock.
     :param pause: time to state with a pause, in seconds.
     :param notices: headers that each answer carries.
     :param sent_bytes: bytes of endless bodies sent so far.
@@ -248,6 +249,7 @@
     faults: Faults = field(default_factory=Faults)
     runs: list[Request] = field(default_factory=list)
     arrivals: list[str] = field(default_factory=list)
+    arrival_times_s: list[float] = field(default_factory=list)
     pause: str = '2.5'
     notices: dict[str, str] = field(default_factory=dict)
     sent_bytes: int = 0
@@ -269,6 +271,7 @@
 
     async def _respond(self, request: Request) -> Response:
         self.arrivals.append(request.headers.get('x-attempt-id', ''))
+        self.arrival_times_s.append(asyncio.get_running_loop().time())
         if request.headers.get('x-expect-instance') != self.name:
             return Response(421)
         refusal = {'X-Not-Executed': '1'}
