Share the limit that a server names among the instances

What callers saw: a server in need got several times the requests that it had said it takes, and so did not recover; their requests there were slow.

Change: a few instances, chosen by rendezvous hashing of the server's name, share the limit at an even pace; the others spare the server. Limits are announced when they change and once a second, and end with an answer that names none or with the server's process.

--- a/src/siskinpass/codes.py
+++ b/src/siskinpass/codes.py
@@ -51,6 +51,7 @@
     broker_lost = 2010
     servers_paused = 2011
     part_blocked = 2012
+    servers_limited = 2013
 
     backend_unreachable = 3001
     stream_cut = 3002
@@ -150,6 +151,9 @@
     Code.part_blocked: _refused(
         'A part of the prompt crashes backend servers.',
     ),
+    Code.servers_limited: _refused(
+        'The limits of all backend servers are used up.',
+    ),
     Code.backend_unreachable: Meaning(
         502,
         Ran.not_run,
--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 
@@ -26,6 +27,8 @@
     ServerLoad,
     ServersListed,
     ServerView,
+    Share,
+    SharesChanged,
     Ticket,
     TicketOpened,
 )
@@ -33,6 +36,9 @@
 # Interval at which waiting tickets are checked; a refusal is at most this late.
 TICK_S = 0.02
 MS_PER_S = 1000
+# Time after which callers should try again where only other instances have a
+# share of the servers' limits.
+RETRY_ELSEWHERE_S = 1.0
 
 PolicyLookup = Callable[[str], BrokerPolicy]
 OnPlaced = Callable[[PromptPlaced], None]
@@ -67,6 +73,7 @@
         self._brokers: dict[str, Broker] = {}
         self._acquisitions: dict[str, _Acquisition] = {}
         self._views: dict[str, ServerView] = {}
+        self._shares: Mapping[str, Share] = {}
         self._opened = asyncio.Event()
 
     @property
@@ -105,7 +112,7 @@
         :raises RefusedError: if no server is granted; the request did not run.
         """
         while True:
-            self._refuse_if_all_paused(ticket)
+            self._refuse_if_all_closed(ticket)
             paused = self._pauses.current(self._loop.time())
             view = await self._acquire(replace(ticket, paused=paused))
             if self._may_use(view):
@@ -124,17 +131,26 @@
             self.release(ticket, failed=False)
             raise
 
-    def _refuse_if_all_paused(self, ticket: Ticket) -> None:
-        names = [
-            view.name
-            for view in self._views.values()
-            if view.pool == ticket.pool and not view.leaving
-        ]
-        paused_s = self._pauses.first_end_s(names, self._loop.time())
-        if paused_s > ticket.max_wait_s:
-            raise RefusedError(
-                Code.servers_paused, retry_after_ms=int(paused_s * MS_PER_S)
-            )
+    def _refuse_if_all_closed(self, ticket: Ticket) -> None:
+        """Refuse a ticket that no server can take before it expires.
+
+        Servers may have asked for a pause, or named limits whose share of this
+        instance is used up.
+        """
+        now_s = self._loop.time()
+        turns_s = {
+            server.view.name: server.turn_s
+            for server in self.broker(ticket.pool).table.servers
+            if not server.view.leaving
+        }
+        wait_s = self._pauses.first_end_s(turns_s, now_s)
+        if wait_s <= ticket.max_wait_s:
+            return
+        is_limited = any(turn_s > now_s for turn_s in turns_s.values())
+        raise RefusedError(
+            Code.servers_limited if is_limited else Code.servers_paused,
+            retry_after_ms=int(_retry_s(wait_s) * MS_PER_S),
+        )
 
     def is_serving(self, view: ServerView) -> bool:
         """Return whether a server is listed and not leaving."""
@@ -183,6 +199,13 @@
             kv_capacity_tokens = self._policy_for(pool).kv_capacity_tokens
             self.broker(pool).table.cache.resize(kv_capacity_tokens)
             self._apply(pool, ServersListed(tuple(by_pool.get(pool, ()))))
+            self._apply(pool, SharesChanged(self._shares))
+
+    def apply_shares(self, shares: Mapping[str, Share]) -> None:
+        """Replace this instance's shares of the limits that servers name."""
+        self._shares = shares
+        for pool in self._brokers:
+            self._apply(pool, SharesChanged(shares))
 
     def set_peer_loads(self, loads: Mapping[str, ServerLoad]) -> None:
         """Replace the load of the other instances, by server."""
@@ -265,3 +288,7 @@
                     retry_after_ms=command.retry_after_ms,
                 ),
             )
+
+
+def _retry_s(wait_s: float) -> float:
+    return wait_s if math.isfinite(wait_s) else RETRY_ELSEWHERE_S
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -72,7 +72,8 @@
     :param may_retry: spends one retry of a service's budget and returns whether
         there was one left.
     :param note_request: adds a request to the retry budget of its service.
-    :param on_notice: called with a server and what it says about itself.
+    :param on_notice: called with a server, when a request was sent to it, and
+        what it says about itself in its answer.
     :param guard: refuses prompts that crash servers.
     """
 
@@ -82,7 +83,7 @@
     metrics: Metrics
     may_retry: Callable[[str], bool]
     note_request: Callable[[str], None]
-    on_notice: Callable[[ServerView, ServerNotice], None]
+    on_notice: Callable[[ServerView, float, ServerNotice], None]
     guard: PartGuard
     log: ComponentLog = field(default_factory=lambda: ComponentLog('forward'))
 
@@ -293,7 +294,7 @@
             self._call.call_id,
             self._parser,
             self,
-            partial(self._context.on_notice, view),
+            partial(self._context.on_notice, view, _now_s()),
         )
         context = SendContext(
             server=view.name,
--- a/src/siskinpass/process/fleet/members.py
+++ b/src/siskinpass/process/fleet/members.py
@@ -27,6 +27,7 @@
 )
 from siskinpass.process.peer_grpc import FleetPeerStub
 from siskinpass.process.peers import PEER_ERRORS, PeerLinks, PeerSecurity
+from siskinpass.process.server_pace import Sharing
 
 NS_PER_MS = 1_000_000
 # The store may be unreachable at the start; the pause between attempts is as
@@ -110,6 +111,17 @@
         silent_s = self._loop.time() - self.gossip.heard_s
         return silent_s > ISOLATED_S
 
+    def sharing(self) -> Sharing:
+        """Return the instances that share the limits of servers.
+
+        One that hears no other shares with as many as it ever knew.
+        """
+        own = self._settings.name
+        if self.is_isolated:
+            return Sharing(own, (own,), self._max_seen)
+        names = sorted(member.name for member in self._caller_members)
+        return Sharing(own, tuple(names))
+
     def peer_sockets(
         self, members: Iterable[Member], port_step: int
     ) -> list[tuple[str, int]]:
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -30,6 +30,10 @@
 from siskinpass.process.fleet.policy import fleet_policy
 from siskinpass.process.fleet.reader import StoreReader
 from siskinpass.process.fleet.roles import serving_members
+from siskinpass.process.fleet.server_limits import (
+    LIMIT_TOPIC,
+    ServerLimits,
+)
 from siskinpass.process.fleet.settings import FleetSettings
 from siskinpass.process.fleet.source import SourceParts, StateSource
 from siskinpass.process.fleet.state import StoredState
@@ -98,6 +102,12 @@
         self._guard = PartGuard(
             self._backends, self._store, self._loads.announce, self._metrics
         )
+        self._limits = ServerLimits(
+            self._members.sharing,
+            self._assigner.apply_shares,
+            self._loads.announce,
+            self._metrics,
+        )
         self._feed = StateFeed()
         self._state = StoredState(
             self._update_servers, self._feed.publish_config
@@ -145,6 +155,7 @@
             LEAVING_TOPIC,
             lambda payload: self._state.mark_leaving(ServerView(**payload)),
         )
+        self._loads.subscribe(LIMIT_TOPIC, self._limits.receive)
         self._loads.subscribe(BROKEN_TOPIC, self._guard.receive_broken)
         self._loads.subscribe(CLEARED_TOPIC, self._guard.receive_cleared)
         self._loads.subscribe(BLOCKED_TOPIC, self._guard.receive_blocked)
@@ -188,7 +199,10 @@
             may_retry=budgets.spend,
             note_request=budgets.note_request,
             on_notice=ServerNotices(
-                self._pauses, self._announce_leaving, self._metrics
+                self._pauses,
+                self._limits,
+                self._announce_leaving,
+                self._metrics,
             ).receive,
             guard=self._guard,
         )
@@ -297,6 +311,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             self._state.expire_missing()
+            self._limits.refresh(self._assigner.servers)
             self._callers = {one for one in self._callers if one.is_open}
 
     def _policy_for(self, pool: str) -> BrokerPolicy:
@@ -308,6 +323,7 @@
     def _update_servers(self, views: Iterable[ServerView]) -> None:
         given = tuple(views)
         self._assigner.set_servers(given)
+        self._limits.refresh(given)
         self._feed.publish_servers(given)
 
     def _load_sockets(self) -> list[tuple[str, int]]:
--- a/src/siskinpass/process/fleet/notices.py
+++ b/src/siskinpass/process/fleet/notices.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from siskinpass.process.fleet.server_limits import ServerLimits
 from siskinpass.process.logs import ComponentLog
 from siskinpass.process.metrics import Metrics
 from siskinpass.process.server_pauses import ServerPauses
@@ -14,26 +15,31 @@
     """Receiver of the servers' notices.
 
     :param pauses: where a server's request for a pause is recorded.
+    :param limits: where the limits that servers name are recorded.
     :param on_leaving: called with each server that announces its end.
     """
 
     def __init__(
         self,
         pauses: ServerPauses,
+        limits: ServerLimits,
         on_leaving: Callable[[ServerView], None],
         metrics: Metrics,
     ) -> None:
         self._pauses = pauses
+        self._limits = limits
         self._on_leaving = on_leaving
         self._metrics = metrics
-        self._limits: dict[str, float | None] = {}
         self._loop = asyncio.get_running_loop()
         self._log = ComponentLog('notices')
 
-    def receive(self, server: ServerView, notice: ServerNotice) -> None:
+    def receive(
+        self, server: ServerView, sent_s: float, notice: ServerNotice
+    ) -> None:
         """Act on one notice; what cannot be read changes nothing.
 
         :param server: as it was when the request was sent to it.
+        :param sent_s: when that was, on the event loop's clock.
         """
         if notice.is_leaving:
             self._metrics.noticed('leaving')
@@ -48,21 +54,7 @@
                 cause='; '.join(notice.unreadable),
             )
         else:
-            self._note_limit(server, notice.limit_per_s)
-
-    def _note_limit(
-        self, server: ServerView, limit_per_s: float | None
-    ) -> None:
-        """Log a server's limit when it changes."""
-        if limit_per_s == self._limits.get(server.name):
-            return
-        self._metrics.noticed('limit')
-        self._limits[server.name] = limit_per_s
-        self._log.note(
-            'A server named another limit.',
-            server=server.name,
-            limit_per_s=limit_per_s,
-        )
+            self._limits.note(server, notice.limit_per_s, sent_s)
 
     def _start_pause(self, server: ServerView, pause_s: float) -> None:
         self._metrics.noticed('pause')
--- a/src/siskinpass/process/grants.py
+++ b/src/siskinpass/process/grants.py
@@ -23,6 +23,7 @@
     PromptPlaced,
     ServerLoad,
     ServersListed,
+    SharesChanged,
     Ticket,
     TokensObserved,
 )
@@ -71,6 +72,7 @@
         self._running[ticket.ticket_id] = grant
         server.add(grant.load)
         server.schedule_prefill(unread, ticket, now_s)
+        server.take_turn(now_s)
         self._table.record_prefix(ticket.prefix, name)
         return unread
 
@@ -136,6 +138,10 @@
     ) -> None:
         self._table.set_peer_loads(event.loads)
 
+    @_handle_event.register
+    def _handle_shares(self, event: SharesChanged, now_s: float) -> None:
+        self._table.set_shares(event.shares, now_s)
+
     @_handle_event.register
     def _handle_tokens(self, event: TokensObserved, now_s: float) -> None:
         server = self._table.find(event.server)
--- a/src/siskinpass/process/placement.py
+++ b/src/siskinpass/process/placement.py
@@ -15,10 +15,12 @@
 from siskinpass.process.cache_map import CacheMap
 from siskinpass.process.limits import LimitPolicy, SlotLimit
 from siskinpass.process.prefill import PrefillSchedule
+from siskinpass.process.server_pace import Pace
 from siskinpass.request.ticket import (
     PromptPlaced,
     ServerLoad,
     ServerView,
+    Share,
     Ticket,
 )
 
@@ -55,6 +57,8 @@
     :param failure_rate: moving average at the time of the last outcome.
     :param probe_after: failures in a row after which it gets one request at a
         time.
+    :param pace: times at which it may get requests, ``None`` if it has named no
+        limit.
     """
 
     view: ServerView
@@ -70,6 +74,7 @@
     failure_rate: float = 0.0
     last_outcome_s: float = 0.0
     probe_after: int = 1
+    pace: Pace | None = None
 
     def add(self, step: ServerLoad) -> None:
         """Add to this instance's load; a negative step removes load."""
@@ -142,9 +147,31 @@
         if now_s >= self.ejected_until_s:
             self.failures = 0
 
+    @property
+    def turn_s(self) -> float:
+        """Return the time before which a limit allows no request."""
+        return 0.0 if self.pace is None else self.pace.next_s
+
+    def set_share(self, share: Share | None, now_s: float) -> None:
+        """Set this instance's share of the server's limit.
+
+        :param share: ``None`` if the server names no limit.
+        """
+        if share is None:
+            self.pace = None
+        elif self.pace is None:
+            self.pace = Pace(share, now_s)
+        else:
+            self.pace.update(share, now_s)
+
+    def take_turn(self, now_s: float) -> None:
+        """Record that a request is sent to the server."""
+        if self.pace is not None:
+            self.pace.take(now_s)
+
     def free_slots(self, now_s: float) -> int:
         """Return the free slots, below 0 while more than allowed are in use."""
-        if self.view.leaving or now_s < self.ejected_until_s:
+        if self.view.leaving or now_s < max(self.ejected_until_s, self.turn_s):
             return 0
         if self.failures >= self.probe_after:
             # Probe a server that has failed with one request at a time.
@@ -278,6 +305,14 @@
         for name, server in self._servers.items():
             server.set_peer_load(loads.get(name, NO_LOAD))
 
+    def set_shares(self, shares: Mapping[str, Share], now_s: float) -> None:
+        """Replace this instance's shares of the servers' limits.
+
+        :param shares: by server name; servers left out name no limit.
+        """
+        for name, server in self._servers.items():
+            server.set_share(shares.get(name), now_s)
+
     def mark_slow(self, now_s: float) -> None:
         """Mark the servers whose token time is far above the median.
 
--- a/src/siskinpass/process/server_pauses.py
+++ b/src/siskinpass/process/server_pauses.py
@@ -6,7 +6,7 @@
 requests again.
 """
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 # Upper limit of a pause, against a server that asks for an absurd time.
 MAX_PAUSE_S = 60.0
@@ -45,11 +45,16 @@
         """Return whether a server gets no requests now."""
         return self._until_s.get(server, 0.0) > now_s
 
-    def first_end_s(self, servers: Iterable[str], now_s: float) -> float:
-        """Return how long all of some servers are still paused.
+    def first_end_s(self, servers: Mapping[str, float], now_s: float) -> float:
+        """Return how long all of some servers are still closed.
 
-        :returns: seconds until the first pause ends, 0 if any server is not
-            paused or there is none.
+        :param servers: names of the servers, each with the time before which
+            it gets no requests for another reason.
+        :returns: seconds until the first of them may be used, 0 if any of them
+            may be used now or there is none.
         """
-        ends_s = [self._until_s.get(server, 0.0) for server in servers]
+        ends_s = [
+            max(closed_s, self._until_s.get(server, 0.0))
+            for server, closed_s in servers.items()
+        ]
         return max(0.0, min(ends_s, default=0.0) - now_s)
--- a/src/siskinpass/request/ticket.py
+++ b/src/siskinpass/request/ticket.py
@@ -256,6 +256,29 @@
     servers: tuple[ServerView, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Share:
+    """This instance's part of the request rate that a server allows.
+
+    :param interval_s: least time between two requests; infinite if the server
+        gets none from this instance.
+    :param delay_s: time before the first one; it differs between instances.
+    """
+
+    interval_s: float
+    delay_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class SharesChanged:
+    """This instance's shares of the limits that servers name have changed.
+
+    :param shares: by server; the others name no limit.
+    """
+
+    shares: Mapping[str, Share]
+
+
 @dataclass(frozen=True, slots=True)
 class EntryLost:
     """An entry instance died, which voids its tickets and grants."""
@@ -275,6 +298,7 @@
     | PeerLoadsReported
     | PromptPlaced
     | ServersListed
+    | SharesChanged
 )
 Event = (
     TicketOpened
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -117,6 +117,7 @@
     servers: list[BackendServer]
     small_fleet: int = SMALL_FLEET
     ports: dict[str, list[int]] = field(default_factory=dict)
+    server_ports: dict[str, int] = field(default_factory=dict)
     logs: dict[str, Path] = field(default_factory=dict)
     processes: dict[str, asyncio.subprocess.Process] = field(
         default_factory=dict,
@@ -274,6 +275,7 @@
             server = BackendServer(f'i-{number}')
             fleet.servers.append(server)
             port = free_ports(1)[0]
+            fleet.server_ports[server.name] = port
             await _listen(stack, server, port)
             await fleet.store.put('servers', server.name, server_entry(port))
         await fleet.store.put('config', 'main', config(3))
