Add a fault soak of the fleet that plays crashing prompts and limits

'python -m bench soak' runs entry instances as processes before six servers. Requests with one part crash the servers beside sound ones with the same key and other parts, and servers name and lift limits: alone (--no-faults), or beside kills, stops, pauses, floods of the announcement port, store outages and restores, storms of configurations, bursts and plain crashes of servers. What callers and servers saw is checked: BUDGET, LIMIT, sound requests going on, answers whole and own, runs at most once.

The harness of fleet processes moves from tests/ to bench/, as both use it.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
     experiment,
     overhead,
     report,
+    soak,
 )
 from bench.demo import demo
 
@@ -65,6 +66,26 @@
     sys.exit(1 if result.violations else 0)
 
 
+@app.command(name='soak')
+def soak_command(
+    *,
+    seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 20.0,
+    instances: int = 9,
+    faults: bool = True,
+) -> None:
+    """Crash servers by prompts and name limits, beside other faults."""
+    failed = 0
+    for number in range(seed, seed + seeds):
+        sys.stdout.write(f'seed {number}\n')
+        plan = soak.SoakPlan(number, seconds, instances, with_faults=faults)
+        outcome = soak.soak(plan)
+        soak.show(outcome)
+        failed += bool(outcome.violations)
+    sys.exit(1 if failed else 0)
+
+
 @app.command(name='capacity')
 def capacity_command(*, page_only: bool = False) -> None:
     """Measure the cost of each part and write the capacity page."""
--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,377 @@
+"""Soak runs of a fleet: prompts that crash servers, limits and other faults.
+
+Real entry instances run as processes before stand-ins of the platform. Requests
+with one part crash the servers while sound ones share its caller and its other
+parts, servers name limits, and instances and the store are disturbed from
+outside. What callers and servers saw is checked at the end.
+"""
+
+import asyncio
+import itertools
+import math
+import random
+import signal
+import socket
+import sys
+import time
+from collections import Counter
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from bench.fleet import (
+    Answer,
+    Fleet,
+    config,
+    free_ports,
+    running_fleet,
+    server_entry,
+)
+from bench.soak_checks import (
+    BAD,
+    ONCE,
+    SOUND,
+    STATUS_OK,
+    Arrival,
+    Disturbance,
+    NamedLimit,
+    Observations,
+    Sent,
+    find_violations,
+)
+from siskinpass.process.fleet.loads import ANNOUNCE_AGAIN_S
+from siskinpass.process.fleet.node import LOADS_PORT_STEP
+from standins.fleet import BackendServer, RestartingServer
+
+SERVERS = 6
+BAD_PART = 'bad0'
+SUBJECTS = 8
+# Requests a second by kind.
+RATES = ((SOUND, 24.0), (ONCE, 6.0), (BAD, 4.0))
+QUIET_S = 2.5  # at the start, without requests that crash servers
+FAULT_INTERVAL_S = 1.5
+MAX_DOWN_S = 1.5
+LIMITS_PER_S = (0.5, 1.0, 1.2, 4.0)
+STORM_VERSIONS = 6
+BURST_REQUESTS = 60
+FLOOD_DATAGRAMS = 4000  # more than a socket's buffer holds
+JUNK = bytes(1024)
+PEER_PORT = 3  # of an instance's ports
+WHOLE = b''.join(
+    f'id: {number}\ndata: x{number}\n\n'.encode() for number in range(1, 9)
+)
+
+
+@dataclass(frozen=True, slots=True)
+class SoakPlan:
+    """Parameters of one run.
+
+    :param seconds: time during which requests are sent.
+    :param with_faults: whether instances and the store are disturbed too.
+    :param small_fleet: number of instances up to which each reads the store.
+    """
+
+    seed: int = 1
+    seconds: float = 20.0
+    instances: int = 9
+    with_faults: bool = True
+    small_fleet: int = 12
+
+
+@dataclass(frozen=True, slots=True)
+class SoakResult:
+    """Outcome of one run.
+
+    :param counts: how often each fault and each kind of answer came.
+    """
+
+    violations: list[str]
+    counts: Counter[str]
+
+
+class Soak:
+    """One run. Faults and load draw from separate random generators."""
+
+    def __init__(
+        self, fleet: Fleet, servers: list[RestartingServer], plan: SoakPlan
+    ) -> None:
+        """Start without load."""
+        self._fleet = fleet
+        self._servers = servers
+        self._plan = plan
+        self._rng = random.Random(plan.seed)
+        self._load_rng = random.Random(plan.seed + 1)
+        self._numbers = itertools.count(1)
+        self._versions = itertools.count(10)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._start_s = time.monotonic()
+        self._busy: set[str] = set()
+        self._limits: dict[str, NamedLimit] = {}
+        self.seen = Observations()
+        self.counts: Counter[str] = Counter()
+
+    async def run(self) -> None:
+        """Send load and inject faults, then wait for all answers."""
+        faults = asyncio.ensure_future(self._inject_faults())
+        total = sum(rate for _, rate in RATES)
+        while self._age_s() < self._plan.seconds:
+            await asyncio.sleep(self._load_rng.expovariate(total))
+            kinds, rates = zip(*RATES, strict=True)
+            kind = self._load_rng.choices(kinds, rates)[0]
+            if kind != BAD or self._age_s() > QUIET_S:
+                self._start(self._ask(kind))
+        await faults
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+        self._collect()
+
+    def _age_s(self) -> float:
+        return time.monotonic() - self._start_s
+
+    def _start(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, kind: str) -> None:
+        name = self._load_rng.choice(sorted(self._fleet.processes))
+        number = next(self._numbers)
+        call = f'{kind}/{name}/{number}'
+        subject = f'subject-{self._load_rng.randrange(SUBJECTS)}'
+        parts = (
+            ['sys', subject] if kind == SOUND else ['sys', BAD_PART, subject]
+        )
+        more = ''
+        if kind != ONCE:
+            entries = ''.join(f'{part}:50,' for part in parts)
+            more = f'X-Prompt-Prefix: {entries}own-{number}:60\r\n'
+        path = '/once/x' if kind == ONCE else '/plain-stream/x'
+        sent = Sent(kind, call, name, time.monotonic())
+        try:
+            answer = await self._fleet.ask(
+                path, name=name, call=call, more=more
+            )
+        except (OSError, TimeoutError):
+            self.counts[f'{kind} no answer'] += 1
+            self.seen.sent.append(sent)
+            return
+        self.counts[f'{kind} {answer.status}'] += 1
+        self.seen.sent.append(_received(sent, answer))
+
+    async def _inject_faults(self) -> None:
+        deck: list[Callable[[], Awaitable[None]]] = []
+        while self._age_s() < self._plan.seconds - MAX_DOWN_S:
+            await asyncio.sleep(FAULT_INTERVAL_S)
+            if not deck:
+                deck = self._faults()
+                self._rng.shuffle(deck)
+            fault = deck.pop()
+            self.counts[fault.__name__.strip('_')] += 1
+            self._start(fault())
+
+    def _faults(self) -> list[Callable[[], Awaitable[None]]]:
+        alone = [self._name_limit, self._name_limit, self._lift_limit]
+        if not self._plan.with_faults:
+            return alone
+        return [
+            *alone,
+            self._kill,
+            self._stop,
+            self._pause,
+            self._flood,
+            self._take_store_down,
+            self._restore_store,
+            self._storm,
+            self._burst,
+            self._end_server,
+        ]
+
+    async def _name_limit(self) -> None:
+        server = self._rng.choice(self._servers)
+        if server.name in self._limits:
+            return
+        per_s = self._rng.choice(LIMITS_PER_S)
+        process = server.process
+        process.notices['Server-Limit'] = str(per_s)
+        self._limits[server.name] = NamedLimit(
+            process.name, per_s, time.monotonic(), math.inf
+        )
+
+    async def _lift_limit(self) -> None:
+        for server in self._servers:
+            limit = self._limits.pop(server.name, None)
+            if limit is not None:
+                self._end_limit(limit)
+                server.process.notices.clear()
+                return
+
+    def _end_limit(self, limit: NamedLimit) -> None:
+        self.seen.limits.append(
+            NamedLimit(
+                limit.process, limit.per_s, limit.start_s, time.monotonic()
+            )
+        )
+
+    async def _kill(self) -> None:
+        await self._replace(signal.SIGKILL)
+
+    async def _stop(self) -> None:
+        await self._replace(signal.SIGTERM)
+
+    async def _replace(self, number: signal.Signals) -> None:
+        async with self._disturbed_instance() as name:
+            process = self._fleet.processes[name]
+            process.send_signal(number)
+            await process.wait()
+            await asyncio.sleep(self._rng.uniform(0, MAX_DOWN_S))
+            await self._fleet.start(name)
+
+    async def _pause(self) -> None:
+        async with self._disturbed_instance() as name:
+            process = self._fleet.processes[name]
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self._rng.uniform(0.2, MAX_DOWN_S))
+            process.send_signal(signal.SIGCONT)
+
+    async def _flood(self) -> None:
+        """Fill an instance's buffer, so that announcements to it are lost."""
+        async with self._disturbed_instance() as name:
+            port = self._fleet.ports[name][PEER_PORT] + LOADS_PORT_STEP
+            with socket.socket(type=socket.SOCK_DGRAM) as sender:
+                for _ in range(FLOOD_DATAGRAMS):
+                    sender.sendto(JUNK, ('127.0.0.1', port))
+            await asyncio.sleep(ANNOUNCE_AGAIN_S)
+
+    @asynccontextmanager
+    async def _disturbed_instance(self) -> AsyncGenerator[str, None]:
+        free = sorted(self._fleet.processes.keys() - self._busy)
+        name = self._rng.choice(free)
+        self._busy.add(name)
+        start_s = time.monotonic()
+        index = len(self.seen.disturbances)
+        self.seen.disturbances.append(Disturbance(name, start_s, math.inf))
+        try:
+            yield name
+        finally:
+            self._busy.discard(name)
+            self.seen.disturbances[index] = Disturbance(
+                name, start_s, time.monotonic()
+            )
+
+    async def _take_store_down(self) -> None:
+        start_s = time.monotonic()
+        index = len(self.seen.disturbances)
+        self.seen.disturbances.append(Disturbance('', start_s, math.inf))
+        await self._fleet.store.take_down()
+        await asyncio.sleep(self._rng.uniform(0.2, MAX_DOWN_S))
+        self._fleet.store.is_down = False
+        self.seen.disturbances[index] = Disturbance(
+            '', start_s, time.monotonic()
+        )
+
+    async def _restore_store(self) -> None:
+        """Take the store back to a copy; servers register again."""
+        copy = self._fleet.store.copy()
+        await asyncio.sleep(self._rng.uniform(0.2, MAX_DOWN_S))
+        now_s = time.monotonic()
+        self.seen.disturbances.append(Disturbance('', now_s, now_s))
+        await self._fleet.store.restore(copy)
+        for server in self._servers:
+            await server.register()
+
+    async def _storm(self) -> None:
+        for _ in range(STORM_VERSIONS):
+            version = config(next(self._versions))
+            await self._fleet.store.put('config', 'main', version)
+            await asyncio.sleep(0.1)
+
+    async def _burst(self) -> None:
+        for _ in range(BURST_REQUESTS):
+            self._start(self._ask(SOUND))
+
+    async def _end_server(self) -> None:
+        self._rng.choice(self._servers).crash()
+
+    def _collect(self) -> None:
+        for limit in self._limits.values():
+            self._end_limit(limit)
+        for server in self._servers:
+            self.seen.crashes_s.extend(server.crash_times_s)
+            self.seen.ran.update(
+                request.headers.get('x-attempt-id', '')
+                for request in server.arrivals
+            )
+            for process in server.processes:
+                self.seen.arrivals.extend(_arrivals(process))
+
+
+def soak(plan: SoakPlan) -> SoakResult:
+    """Run once and return what was violated."""
+    return asyncio.run(_soak(plan))
+
+
+async def _soak(plan: SoakPlan) -> SoakResult:
+    async with running_fleet(
+        instances=plan.instances, servers=0, small_fleet=plan.small_fleet
+    ) as fleet:
+        servers = [
+            await _start_server(fleet, number) for number in range(SERVERS)
+        ]
+        await asyncio.sleep(FAULT_INTERVAL_S)
+        run = Soak(fleet, servers, plan)
+        try:
+            await run.run()
+        finally:
+            for server in servers:
+                server.close()
+    run.counts['crashes'] = len(run.seen.crashes_s)
+    return SoakResult(find_violations(run.seen), run.counts)
+
+
+async def _start_server(fleet: Fleet, number: int) -> RestartingServer:
+    server = RestartingServer(
+        f'i-{number}',
+        fleet.store,
+        server_entry(free_ports(1)[0]),
+        frozenset((BAD_PART,)),
+    )
+    await server.start()
+    return server
+
+
+def show(outcome: SoakResult) -> None:
+    """Print the outcome of a run."""
+    for name, count in sorted(outcome.counts.items()):
+        sys.stdout.write(f'{name}: {count}\n')
+    for violation in outcome.violations:
+        sys.stdout.write(f'VIOLATION {violation}\n')
+    sys.stdout.write(f'{len(outcome.violations)} violations\n')
+
+
+def _received(sent: Sent, answer: Answer) -> Sent:
+    is_right = answer.status == STATUS_OK and answer.is_whole
+    if sent.kind == ONCE:
+        is_right = is_right and b'"body":"body"' in answer.body
+    else:
+        is_right = is_right and answer.body == WHOLE
+    # A stream that broke off is no right answer, but no wrong one either.
+    body = answer.body if answer.is_whole else b''
+    return Sent(
+        sent.kind,
+        sent.call,
+        sent.instance,
+        sent.at_s,
+        answer.status,
+        is_right,
+        body,
+    )
+
+
+def _arrivals(process: BackendServer) -> list[Arrival]:
+    found = []
+    pairs = zip(process.arrivals, process.arrival_times_s, strict=True)
+    for call, at_s in pairs:
+        kind, _, rest = call.partition('/')
+        instance = rest.partition('/')[0]
+        found.append(Arrival(kind, call, instance, process.name, at_s))
+    return found
--- /dev/null
+++ b/bench/soak_checks.py
@@ -0,0 +1,220 @@
+"""Check what callers and backend servers saw in a soak run. Pure logic."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+CONTACT_S = 3.0  # the contact time of the operator's bounds
+BUDGET_CRASHES = 5
+BUDGET_REQUESTS = 3  # that may reach servers later than these crashes
+WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+TOLD_S = 0.5  # from an answer that names a limit until it binds its instance
+ANSWER_S = 0.5  # longest that a server without trouble takes for an answer
+MIN_SOUND = 20  # requests below which a share says nothing
+BAD = 'bad'
+SOUND = 'sound'
+ONCE = 'once'
+STATUS_OK = 200
+STATUS_REFUSED = 503
+# Text of the refusal of a prompt that crashes servers.
+BLOCKED_TEXT = b'crashes backend servers'
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """One request and its answer.
+
+    :param kind: ``BAD``, ``SOUND`` or ``ONCE``.
+    :param at_s: when it was sent.
+    :param status: status of the answer, 0 without one.
+    :param is_right: whether the answer is whole and the caller's own.
+    """
+
+    kind: str
+    call: str
+    instance: str
+    at_s: float
+    status: int = 0
+    is_right: bool = False
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request that reached a server.
+
+    :param process: process of the server.
+    """
+
+    kind: str
+    call: str
+    instance: str
+    process: str
+    at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """Time during which an instance is not held to its bounds.
+
+    :param instance: empty for the store, which concerns all instances.
+    :param end_s: infinite for one that does not come back.
+    """
+
+    instance: str
+    start_s: float
+    end_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """Time during which a server's process named a limit."""
+
+    process: str
+    per_s: float
+    start_s: float
+    end_s: float
+
+
+@dataclass(slots=True)
+class Observations:
+    """All that was seen in one run.
+
+    :param arrivals: requests that reached servers, run or not.
+    :param ran: how often each request ran.
+    """
+
+    sent: list[Sent] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    ran: Counter[str] = field(default_factory=Counter)
+    crashes_s: list[float] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
+    limits: list[NamedLimit] = field(default_factory=list)
+
+    def is_calm(self, instance: str, at_s: float) -> bool:
+        """Return whether an instance and the store were without trouble.
+
+        They have to be for the whole contact time before.
+        """
+        return not any(
+            one.instance in {'', instance}
+            and one.start_s <= at_s <= one.end_s + CONTACT_S
+            for one in self.disturbances
+        )
+
+    def is_excused(self, instance: str, at_s: float) -> bool:
+        """Return whether an instance was in trouble, whatever the store did."""
+        return any(
+            one.instance == instance
+            and one.start_s <= at_s <= one.end_s + CONTACT_S
+            for one in self.disturbances
+        )
+
+
+def find_violations(seen: Observations) -> list[str]:
+    """Return each broken promise, with what shows it."""
+    return [
+        *_check_budget(seen),
+        *_check_limits(seen),
+        *_check_sound(seen),
+        *_check_answers(seen),
+    ]
+
+
+def busiest_window(times_s: Iterable[float]) -> int:
+    """Return the largest number of times in any window."""
+    ordered = sorted(times_s)
+    return max(
+        (
+            sum(start_s <= one < start_s + WINDOW_S for one in ordered)
+            for start_s in ordered
+        ),
+        default=0,
+    )
+
+
+def _check_budget(seen: Observations) -> Iterable[str]:
+    if len(seen.crashes_s) < BUDGET_CRASHES:
+        return
+    from_s = sorted(seen.crashes_s)[BUDGET_CRASHES - 1] + CONTACT_S
+    late = [
+        one
+        for one in seen.arrivals
+        if one.kind == BAD
+        and one.at_s > from_s
+        and seen.is_calm(one.instance, one.at_s)
+    ]
+    if len(late) > BUDGET_REQUESTS:
+        yield (
+            f'{len(late)} requests with a part that had crashed '
+            f'{BUDGET_CRASHES} servers reached servers: {late[:9]}'
+        )
+
+
+def _check_limits(seen: Observations) -> Iterable[str]:
+    for limit in seen.limits:
+        times_s = [
+            one.at_s
+            for one in seen.arrivals
+            if one.process == limit.process
+            and limit.start_s + CONTACT_S < one.at_s <= limit.end_s
+            and _was_told(seen, one, limit)
+            and not seen.is_excused(one.instance, one.at_s)
+        ]
+        found = busiest_window(times_s)
+        allowed = LIMIT_FACTOR * limit.per_s * WINDOW_S + LIMIT_SLACK
+        if found > allowed:
+            yield (
+                f'{limit.process} named {limit.per_s} a second and got {found} '
+                f'requests in {WINDOW_S} s; allowed {allowed}'
+            )
+
+
+def _was_told(seen: Observations, found: Arrival, limit: NamedLimit) -> bool:
+    told_s = found.at_s - TOLD_S - ANSWER_S
+    return any(
+        one.instance == found.instance
+        and one.process == limit.process
+        and limit.start_s <= one.at_s <= told_s
+        for one in seen.arrivals
+    )
+
+
+def _check_sound(seen: Observations) -> Iterable[str]:
+    """Check that requests beside those that crash servers go on."""
+    for one in seen.sent:
+        if one.kind != BAD and BLOCKED_TEXT in one.body:
+            yield f'{one.call} was refused for a part that crashes no server'
+    bad_s = [one.at_s for one in seen.sent if one.kind == BAD]
+    crashes_s = sorted(seen.crashes_s)[:BUDGET_CRASHES]
+    if not bad_s or not crashes_s:
+        return
+    from_s = crashes_s[-1] + 2 * CONTACT_S
+    before = _served(seen, 0, min(bad_s))
+    beside = _served(seen, from_s, max(bad_s))
+    if before is not None and beside is not None and beside < before / 2:
+        yield f'{beside:.0%} of the sound requests served, before {before:.0%}'
+
+
+def _served(seen: Observations, from_s: float, until_s: float) -> float | None:
+    found = [
+        one.is_right
+        for one in seen.sent
+        if one.kind == SOUND
+        and from_s <= one.at_s < until_s
+        and seen.is_calm(one.instance, one.at_s)
+    ]
+    return sum(found) / len(found) if len(found) >= MIN_SOUND else None
+
+
+def _check_answers(seen: Observations) -> Iterable[str]:
+    for one in seen.sent:
+        runs = seen.ran[one.call]
+        if one.kind == ONCE and runs > 1:
+            yield f'{one.call} ran {runs} times'
+        if one.kind == ONCE and one.status == STATUS_REFUSED and runs:
+            yield f'{one.call} ran but was reported as not run'
+        if one.status == STATUS_OK and one.body and not one.is_right:
+            yield f'{one.call} got an answer that is not its own or not whole'
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -354,8 +354,9 @@
     :param store: where it registers.
     :param entry: registration without what changes at a start.
     :param crashing_parts: prompt parts under which a process ends.
-    :ivar arrivals: requests that reached any of its processes, in order.
-    :ivar crashes: number of processes that ended.
+    :ivar arrivals: requests that its processes ran, in order.
+    :ivar crash_times_s: when processes ended, on the monotonic clock.
+    :ivar processes: all of its processes, the current one last.
     """
 
     def __init__(
@@ -365,30 +366,51 @@
         entry: dict[str, Any],
         crashing_parts: frozenset[str],
     ) -> None:
-        self._name = name
+        self.name = name
         self._store = store
         self._entry = entry
         self._connections = Connections()
         self._listener: asyncio.Server | None = None
         self._crashing_parts = crashing_parts
         self._tasks: set[asyncio.Task[None]] = set()
+        self._is_running = False
         self.restart_s = RESTART_S
         self.arrivals: list[Request] = []
-        self.crashes = 0
+        self.crash_times_s: list[float] = []
+        self.processes: list[BackendServer] = []
+
+    @property
+    def crashes(self) -> int:
+        """Return the number of processes that ended."""
+        return len(self.crash_times_s)
+
+    @property
+    def process(self) -> BackendServer:
+        """Return the current process, or the last one."""
+        return self.processes[-1]
 
     async def start(self) -> None:
         """Listen and register as a new process."""
         server = BackendServer(
-            f'{self._name}-{self.crashes}',
+            f'{self.name}-{self.crashes}',
             crashing_parts=self._crashing_parts,
-            on_crash=self._crash,
+            on_crash=self.crash,
             runs=self.arrivals,
         )
+        self.processes.append(server)
         host, port = self._entry['address'].rsplit(':', 1)
         self._listener = await serve(server, host, int(port), self._connections)
-        await self._store.put(
-            'servers', server.name, self._entry | {'born': self.crashes + 1}
-        )
+        self._is_running = True
+        await self.register()
+
+    async def register(self) -> None:
+        """Write the entry of the current process, if it runs."""
+        if self._is_running:
+            await self._store.put(
+                'servers',
+                self.process.name,
+                self._entry | {'born': len(self.processes)},
+            )
 
     def close(self) -> None:
         """End without a restart."""
@@ -397,16 +419,20 @@
         self._listener.close()
         self._connections.abort()
 
-    def _crash(self) -> None:
-        ended = f'{self._name}-{self.crashes}'
-        self.crashes += 1
+    def crash(self) -> None:
+        """End the process at once; another one starts later."""
+        if not self._is_running:
+            return
+        self._is_running = False
+        self.crash_times_s.append(asyncio.get_running_loop().time())
         self._listener.close()
         self._connections.abort()
-        task = asyncio.get_running_loop().create_task(self._restart(ended))
+        task = asyncio.get_running_loop().create_task(self._restart())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _restart(self, ended: str) -> None:
+    async def _restart(self) -> None:
+        ended = self.process.name
         await asyncio.sleep(self.restart_s)
         await self.start()
         await self._store.remove('servers', ended)
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -6,16 +6,16 @@
 
 import pytest
 
-from siskinpass.codes import MEANINGS, Code
-from siskinpass.process.fleet.settings import SMALL_FLEET
-from standins.fleet import RestartingServer, shared_parts
-from tests.fleet import (
+from bench.fleet import (
     accepts,
     free_ports,
     running_fleet,
     server_entry,
     wait_until,
 )
+from siskinpass.codes import MEANINGS, Code
+from siskinpass.process.fleet.settings import SMALL_FLEET
+from standins.fleet import RestartingServer, shared_parts
 from tests.test_fleet import WHOLE, run_scenario
 
 BAD = 'bad0'
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -7,9 +7,9 @@
 
 import pytest
 
+from bench.fleet import KEY, config, running_fleet, wait_until
 from siskinpass.cli_explain import STATUS_UNKNOWN, explain
 from siskinpass.process.request_timeline import build_timeline, read_log
-from tests.fleet import KEY, config, running_fleet, wait_until
 
 CALL_ID = 'the-one'
 OTHER_COUNT = 40
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,8 +5,7 @@
 
 import pytest
 
-from siskinpass.codes import MEANINGS, Code
-from tests.fleet import (
+from bench.fleet import (
     ROUTES,
     config,
     exchange,
@@ -15,6 +14,7 @@
     server_entry,
     wait_until,
 )
+from siskinpass.codes import MEANINGS, Code
 
 WHOLE = b''.join(f'id: {n}\ndata: x{n}\n\n'.encode() for n in range(1, 9))
 
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bench.fleet import ROUTES, config, route, server_entry, wait_until
 from siskinpass.process.fleet.roles import (
     MAX_SERVING,
     READERS,
@@ -13,7 +14,6 @@
     serving_members,
 )
 from siskinpass.process.membership import Member
-from tests.fleet import ROUTES, config, route, server_entry, wait_until
 from tests.test_fleet import _answers_with, run_scenario
 
 ZONES = ('a', 'b', 'c')
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from bench.fleet import server_entry, wait_until
 from siskinpass.codes import MEANINGS, Code
-from tests.fleet import server_entry, wait_until
 from tests.test_fleet import run_scenario
 from tests.test_server_notices import reach
 
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -5,11 +5,11 @@
 
 import pytest
 
+from bench.fleet import server_entry, wait_until
 from siskinpass.codes import MEANINGS, Code
 from siskinpass.platform.headers import decode_answer
 from siskinpass.process.server_pauses import MAX_PAUSE_S, ServerPauses
 from siskinpass.request.ticket import Ticket
-from tests.fleet import server_entry, wait_until
 from tests.test_fleet import WHOLE, run_scenario
 
 ASKS = 8  # enough to reach both servers several times
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bench.fleet import free_ports, wait_until
 from siskinpass.process.fleet.settings import OperatorBounds
 from siskinpass.process.fleet.store_client import WATCH_MARGIN_S, StoreClient
 from siskinpass.process.fleet.watch import (
@@ -15,7 +16,6 @@
 )
 from standins.fleet import ObjectStore
 from standins.http_server import serve
-from tests.fleet import free_ports, wait_until
 
 KIND = 'things'
 
