Treat replies that cannot be unpacked as errors of their instance

What callers would see: nothing at once; the task that joins, refreshes or follows ends with the exception, and the instance keeps what it knew.

Cause: an error of zlib, protobuf or JSON in another instance's reply was in no list of the errors that these tasks handle.

--- a/src/siskinpass/process/fleet/members.py
+++ b/src/siskinpass/process/fleet/members.py
@@ -10,6 +10,8 @@
 import time
 from collections.abc import Callable, Iterable
 
+from grpclib.client import Channel
+
 from siskinpass.exceptions import FormatError, StoreConflictError, StoreError
 from siskinpass.platform.directory import decode_member, encode_member
 from siskinpass.platform.objects import INSTANCES_KIND
@@ -276,19 +278,28 @@
     async def _meet(self, address: str) -> bool:
         channel = self.links.open(address)
         try:
-            reply = await FleetPeerStub(channel).ReadMembers(
-                pb.MembersRequest(
-                    sender=codec.encode_member(self.gossip.membership.own)
-                ),
-                timeout=CALL_TIMEOUT_S,
+            known = await self._read_members(channel)
+        except PEER_ERRORS as error:
+            self._log.routine(
+                'An instance did not tell its members.',
+                address=address,
+                cause=repr(error),
             )
-        except PEER_ERRORS:
             return False
         finally:
             channel.close()
-        self.gossip.merge(codec.unpack_members(reply.members))
+        self.gossip.merge(known)
         return True
 
+    async def _read_members(self, channel: Channel) -> list[Member]:
+        request = pb.MembersRequest(
+            sender=codec.encode_member(self.gossip.membership.own)
+        )
+        reply = await FleetPeerStub(channel).ReadMembers(
+            request, timeout=CALL_TIMEOUT_S
+        )
+        return codec.unpack_members(reply.members)
+
     def _update_live(self) -> None:
         live = self.gossip.membership.live
         self._max_seen = max(self._max_seen, len(live))
--- a/src/siskinpass/process/peers.py
+++ b/src/siskinpass/process/peers.py
@@ -1,9 +1,12 @@
 """gRPC channels to other instances, over grpclib."""
 
 import ssl
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import orjson
+from google.protobuf.message import DecodeError
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.protocol import H2Protocol
@@ -14,7 +17,8 @@
 
 CALL_TIMEOUT_S = 2.0
 KEY_HEADER = 'x-siskinpass-peer-key'
-# Errors of a call to another instance; KeyError if its address is not known.
+# Errors of a call to another instance, of unpacking its reply too; KeyError if
+# its address is not known.
 PEER_ERRORS = (
     GRPCError,
     ProtocolError,
@@ -22,6 +26,9 @@
     OSError,
     TimeoutError,
     KeyError,
+    DecodeError,
+    orjson.JSONDecodeError,
+    zlib.error,
 )
 
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from siskinpass.process.blocked_parts import BlockedParts
 from siskinpass.process.fleet.feed import (
     MAX_WAITING,
     StateFeed,
@@ -67,6 +68,26 @@
 
         follow(scenario)
 
+    def test_blocked_parts_are_sent_all(self):
+        """A follower gets them at first, and all of them with each change."""
+        first, second = (
+            BlockedParts(frozenset((part,)), 7.5) for part in ('a', 'b')
+        )
+
+        async def scenario(feed, updates):
+            await take(updates, 1)
+            feed.publish_blocked((first,))
+            feed.publish_blocked((first, second))
+            changes = await take(updates, 2)
+            assert [one.blocked for one in changes] == [
+                (first,),
+                (first, second),
+            ]
+            async with aclosing(feed.follow(0)) as later:
+                assert (await take(later, 1))[0].blocked == (first, second)
+
+        follow(scenario)
+
     def test_loss_of_the_store_is_told_at_once(self):
         """Followers need not wait for a heartbeat to leave the reader."""
 
