Check whether a server has ended without a connection to spare

Cause: each answer that broke off opened a connection to see whether the server still accepts any, and closed it again. New connections are expensive for servers, and answers break off for many reasons.

Change: an idle connection that stays open 50 ms after the break proves as much. Without one, the connection that was opened takes the next request.

Test before (scratch copy): test_probe_of_a_server_costs_no_connection timed out, as the probe closed its connection; after: two connections in all.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -18,7 +18,7 @@
     SMALL_FLEET_VARIABLE,
 )
 from standins.fleet import BackendServer, ObjectStore
-from standins.http_server import serve
+from standins.http_server import Connections, serve
 
 WAIT_S = 20.0
 POLL_S = 0.02
@@ -110,6 +110,7 @@
     """Running store, backend servers and instances.
 
     :param small_fleet: number of instances up to which each reads the store.
+    :param connections: open connections of each server.
     :param ports: ports of each instance by its name, and of ``store``.
     """
 
@@ -118,6 +119,7 @@
     small_fleet: int = SMALL_FLEET
     ports: dict[str, list[int]] = field(default_factory=dict)
     server_ports: dict[str, int] = field(default_factory=dict)
+    connections: dict[str, Connections] = field(default_factory=dict)
     logs: dict[str, Path] = field(default_factory=dict)
     processes: dict[str, asyncio.subprocess.Process] = field(
         default_factory=dict,
@@ -276,7 +278,8 @@
             fleet.servers.append(server)
             port = free_ports(1)[0]
             fleet.server_ports[server.name] = port
-            await _listen(stack, server, port)
+            fleet.connections[server.name] = Connections()
+            await _listen(stack, server, port, fleet.connections[server.name])
             await fleet.store.put('servers', server.name, server_entry(port))
         await fleet.store.put('config', 'main', config(3))
         stack.push_async_callback(_end, fleet)
@@ -315,8 +318,8 @@
     return True
 
 
-async def _listen(stack, handler, port):
-    server = await serve(handler, '127.0.0.1', port)
+async def _listen(stack, handler, port, connections=None):
+    server = await serve(handler, '127.0.0.1', port, connections)
     stack.callback(server.close)
 
 
--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -148,6 +148,11 @@
         self._unused_bytes = 0
         self._transport.write(request)
 
+    def give_back(self) -> None:
+        """Return a connection to the pool on which nothing was sent."""
+        if self.is_open:
+            self._on_idle(self)
+
     def cancel(self) -> None:
         """Close the connection at once, so that the backend server stops."""
         self._sink = None
--- a/src/siskinpass/process/fleet/part_guard.py
+++ b/src/siskinpass/process/fleet/part_guard.py
@@ -49,6 +49,8 @@
 CLEARED_TOPIC = 'cleared'
 BLOCKED_TOPIC = 'blocked'
 WRITE_RETRY_S = 1.0
+# Time after which the idle connections to a server that ended are closed.
+CLOSE_DELAY_S = 0.05
 # Age at which the record of a request that a crash cut off has expired.
 EVIDENCE_S = 600.0
 
@@ -216,12 +218,14 @@
             self._add_broken((request,))
 
     async def _is_gone(self, address: str) -> bool:
+        # A process that ends closes all its connections, idle ones too.
+        await asyncio.sleep(CLOSE_DELAY_S)
         try:
-            connection = await self._backends.connect(address, fresh=True)
+            connection = await self._backends.connect(address, fresh=False)
         except ConnectError as error:
             # No answer at all may come from a fault on the way.
             return isinstance(error.__cause__, ConnectionRefusedError)
-        connection.cancel()
+        connection.give_back()
         return False
 
     def _add_broken(self, requests: Iterable[BrokenRequest]) -> None:
--- a/src/siskinpass/process/fleet/reader.py
+++ b/src/siskinpass/process/fleet/reader.py
@@ -30,8 +30,8 @@
 # Kinds without which the state of an instance may be out of date.
 STATE_KINDS = frozenset((CONFIG_KIND, SERVERS_KIND))
 # Instances tell each other of parts that crash servers, so that a lost answer
-# of this watch may be noticed late.
-PARTS_WAIT_S = 15.0
+# of this watch may be noticed late. The store lets a watch wait for up to 30 s.
+PARTS_WAIT_S = 29.0
 
 
 class StoreReader:
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -90,14 +90,23 @@
 
 
 class Connections:
-    """Open connections of one server."""
+    """Open connections of one server.
+
+    :ivar accepted: number of connections since the start.
+    """
 
     def __init__(self) -> None:
         self._transports: set[asyncio.Transport] = set()
+        self.accepted = 0
+
+    def __len__(self) -> int:
+        """Return the number of open connections."""
+        return len(self._transports)
 
     def add(self, transport: asyncio.Transport) -> None:
         """Add a connection that was accepted."""
         self._transports.add(transport)
+        self.accepted += 1
 
     def discard(self, transport: asyncio.Transport) -> None:
         """Remove a connection that was closed."""
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -212,6 +212,22 @@
 
         run_scenario(scenario)
 
+    def test_probe_of_a_server_costs_no_connection(self):
+        """The connection that shows that it lives takes the next request."""
+
+        async def scenario(fleet):
+            server = fleet.servers[0]
+            server.faults.cuts = 1
+            await ask_with(fleet, 'front-1', SHARED, BAD, call='cut')
+            await wait_until(
+                lambda: len(fleet.connections[server.name]) == 1, 'the probe'
+            )
+            answer = await ask_with(fleet, 'front-1', SHARED, BAD)
+            assert answer.body == WHOLE
+            assert fleet.connections[server.name].accepted == 2
+
+        run_scenario(scenario, servers=1)
+
 
 async def _is_blocked_everywhere(fleet):
     for name in fleet.processes:
