Let other instances object before parts are blocked, and record only suspects

What callers would see: all requests with a sound part refused, for minutes.

Cause: an instance that started after some crashes read their records, with all parts of the requests; the answers that had cleared some of them were known to the other instances only. After a plain end of a server that part was the only one common to all records.

Change: a request is recorded a second later, with the parts that are not cleared by then, and once more ten seconds later. An instance that blames parts announces it and waits half a second; the others answer with what they cleared. Requests with blamed parts wait for the decision. Reading and writing of the records moves to a module of its own.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -56,6 +56,7 @@
 BURST_REQUESTS = 60
 FLOOD_DATAGRAMS = 4000  # more than a socket's buffer holds
 JUNK = bytes(1024)
+MAX_SHOWN = 10  # violations
 PEER_PORT = 3  # of an instance's ports
 WHOLE = b''.join(
     f'id: {number}\ndata: x{number}\n\n'.encode() for number in range(1, 9)
@@ -343,7 +344,7 @@
     """Print the outcome of a run."""
     for name, count in sorted(outcome.counts.items()):
         sys.stdout.write(f'{name}: {count}\n')
-    for violation in outcome.violations:
+    for violation in outcome.violations[:MAX_SHOWN]:
         sys.stdout.write(f'VIOLATION {violation}\n')
     sys.stdout.write(f'{len(outcome.violations)} violations\n')
 
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -236,7 +236,7 @@
             self._context.metrics.retried(_RETRY_CODES[attempt_result.ending])
 
     async def _attempt(self, plan: '_Plan') -> AttemptResult:
-        self._parts.check()
+        await self._parts.admit()
         ticket = make_ticket(
             self._call,
             plan,
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -21,6 +21,7 @@
 from siskinpass.process.fleet.members import FleetMembers
 from siskinpass.process.fleet.notices import ServerNotices
 from siskinpass.process.fleet.part_guard import (
+    BLAMED_TOPIC,
     BLOCKED_TOPIC,
     BROKEN_TOPIC,
     CLEARED_TOPIC,
@@ -158,6 +159,7 @@
         self._loads.subscribe(LIMIT_TOPIC, self._limits.receive)
         self._loads.subscribe(BROKEN_TOPIC, self._guard.receive_broken)
         self._loads.subscribe(CLEARED_TOPIC, self._guard.receive_cleared)
+        self._loads.subscribe(BLAMED_TOPIC, self._guard.receive_blamed)
         self._loads.subscribe(BLOCKED_TOPIC, self._guard.receive_blocked)
         self._guard.subscribe(self._apply_blocked)
 
--- a/src/siskinpass/process/fleet/part_guard.py
+++ b/src/siskinpass/process/fleet/part_guard.py
@@ -2,9 +2,10 @@
 
 Each instance sees only its own requests end, so that instances tell each other
 which requests a crash cut off and which parts were in answers that went on.
-Whichever first knows enough blocks the part and tells the others. Blocks, and
-requests that a crash cut off as their answers began, are also recorded in the
-store, for instances that start later or did not hear of them.
+Whichever first knows enough asks the others whether they know better, blocks
+the part and tells them. Blocks, and requests that a crash cut off as their
+answers began, are also recorded in the store, for instances that start later or
+did not hear of them.
 """
 
 import asyncio
@@ -15,22 +16,9 @@
 
 from siskinpass.codes import Code
 from siskinpass.connection.backend import BackendPool
-from siskinpass.exceptions import (
-    ConnectError,
-    FormatError,
-    RefusedError,
-    StoreConflictError,
-    StoreError,
-)
-from siskinpass.platform.objects import StoredObject
-from siskinpass.platform.part_records import (
-    PARTS_KIND,
-    PartRecord,
-    decode_record,
-    encode_record,
-    record_name,
-)
+from siskinpass.exceptions import ConnectError, RefusedError
 from siskinpass.process.blocked_parts import BLOCK_S, BlockedParts, BlockList
+from siskinpass.process.fleet.part_records import PartRecords
 from siskinpass.process.fleet.store_client import StoreClient
 from siskinpass.process.fleet.watch import Listed, StoreUnavailable, StoreUpdate
 from siskinpass.process.logs import ComponentLog
@@ -47,12 +35,13 @@
 # Topics of the announcements to the other instances.
 BROKEN_TOPIC = 'broken'
 CLEARED_TOPIC = 'cleared'
+BLAMED_TOPIC = 'blamed'
 BLOCKED_TOPIC = 'blocked'
-WRITE_RETRY_S = 1.0
 # Time after which the idle connections to a server that ended are closed.
 CLOSE_DELAY_S = 0.05
-# Age at which the record of a request that a crash cut off has expired.
-EVIDENCE_S = 600.0
+# Time that the others have to object to the blame on a part. They announce
+# twice, ``ANNOUNCE_AGAIN_S`` apart.
+CONTEST_S = 0.5
 
 # An instance that refuses a request records its parts if the one that blocked
 # them seems to have failed to.
@@ -78,7 +67,7 @@
         metrics: Metrics,
     ) -> None:
         self._backends = backends
-        self._store = store
+        self._records = PartRecords(store)
         self._announce = announce
         self._metrics = metrics
         self._log = ComponentLog('parts')
@@ -88,6 +77,7 @@
         self._probes: dict[str, asyncio.Task[bool]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._listeners: list[OnBlocked] = []
+        self._contests: dict[frozenset[str], asyncio.Task[None]] = {}
 
     @property
     def blocked(self) -> tuple[BlockedParts, ...]:
@@ -98,9 +88,27 @@
         """Call a function with all parts that are blocked from now on."""
         self._listeners.append(listener)
 
-    def check(self, parts: tuple[str, ...]) -> None:
+    async def admit(self, parts: tuple[str, ...]) -> None:
         """Refuse a prompt that would crash a server.
 
+        Waits until it is decided whether its parts are to blame.
+
+        :param parts: names of the parts that other prompts may share.
+        :raises RefusedError: if the prompt holds blocked parts.
+        """
+        given = frozenset(parts)
+        contests = [
+            contest
+            for blamed, contest in self._contests.items()
+            if blamed <= given
+        ]
+        if contests:
+            await asyncio.wait(contests)
+        self.check(parts)
+
+    def check(self, parts: tuple[str, ...]) -> None:
+        """Refuse a prompt that is known to crash servers.
+
         :param parts: names of the parts that other prompts may share.
         :raises RefusedError: if the prompt holds blocked parts.
         """
@@ -147,6 +155,14 @@
         )
         self._check_beside(news)
 
+    def receive_blamed(self, payload: list[list[str]]) -> None:
+        """Object if another instance blames parts that were sound here."""
+        cleared = self._crashes.cleared_among(
+            (part, server) for part, server in payload
+        )
+        if cleared:
+            self._announce(CLEARED_TOPIC, cleared)
+
     def receive_blocked(self, payload: list[list[Any]]) -> None:
         """Take in parts that another instance has blocked."""
         self._merge(
@@ -173,7 +189,7 @@
             one
             for stored in update.stored
             if not stored.is_deleted
-            for one in self._decode(stored)
+            for one in self._records.read(stored)
         ]
         self.receive_relayed(
             tuple(one for one in records if isinstance(one, BlockedParts))
@@ -214,7 +230,11 @@
             self._metrics.noticed('crash')
             self._announce(BROKEN_TOPIC, (astuple(request),))
             if request.weight == BEGUN_WEIGHT:
-                self._start(self._record(request))
+                self._start(
+                    self._records.write_suspects(
+                        request, self._crashes.suspects
+                    )
+                )
             self._add_broken((request,))
 
     async def _is_gone(self, address: str) -> bool:
@@ -240,13 +260,32 @@
     def _blame(self, parts: Iterable[str]) -> None:
         for part in sorted(parts):
             blamed = self._crashes.blamed(part)
-            if blamed and not self.is_blocked(tuple(blamed)):
-                self._log.warn(
-                    'Prompt parts crash servers.',
-                    parts=sorted(blamed),
-                    servers=self._crashes.servers(part),
-                )
-                self._block(BlockedParts(blamed, time.time()))
+            is_new = blamed and blamed not in self._contests
+            if is_new and not self.is_blocked(tuple(blamed)):
+                self._contest(part, blamed)
+
+    def _contest(self, part: str, blamed: frozenset[str]) -> None:
+        """Ask the others about blamed parts; block them if none objects."""
+        servers = self._crashes.servers(part)
+        self._log.note(
+            'Prompt parts are blamed.', parts=sorted(blamed), servers=servers
+        )
+        pairs = tuple((one, server) for one in blamed for server in servers)
+        self._announce(BLAMED_TOPIC, pairs)
+        task = asyncio.ensure_future(self._decide(part))
+        self._contests[blamed] = task
+        task.add_done_callback(lambda _: self._contests.pop(blamed))
+
+    async def _decide(self, part: str) -> None:
+        await asyncio.sleep(CONTEST_S)
+        blamed = self._crashes.blamed(part)
+        if blamed and not self.is_blocked(tuple(blamed)):
+            self._log.warn(
+                'Prompt parts crash servers.',
+                parts=sorted(blamed),
+                servers=self._crashes.servers(part),
+            )
+            self._block(BlockedParts(blamed, time.time()))
 
     def _block(self, blocked: BlockedParts) -> None:
         self._merge((blocked,))
@@ -254,67 +293,13 @@
             BLOCKED_TOPIC, ((sorted(blocked.parts), blocked.asked_s),)
         )
         self._recorded.add(blocked.parts)
-        self._start(self._record(blocked))
+        self._start(self._records.write(blocked))
 
     def _is_unrecorded(self, found: BlockedParts, now_s: float) -> bool:
         is_old = now_s - found.asked_s >= UNRECORDED_S
         return is_old and found.parts not in self._recorded
 
-    async def _record(self, record: PartRecord) -> None:
-        """Write a record to the store, until it has it."""
-        while not await self._try_record(record):
-            await asyncio.sleep(WRITE_RETRY_S)
-
-    async def _try_record(self, record: PartRecord) -> bool:
-        name, body = record_name(record), encode_record(record)
-        try:
-            await self._write(name, body)
-        except StoreError as error:
-            self._log.warn(
-                'Prompt parts are not recorded yet.',
-                record=name,
-                cause=str(error),
-            )
-            return False
-        return True
-
-    async def _write(self, name: str, body: dict[str, Any]) -> None:
-        try:
-            await self._store.create(PARTS_KIND, name, body)
-        except StoreConflictError:
-            await self._store.replace(PARTS_KIND, name, body)
-
-    async def _remove(self, name: str) -> None:
-        try:
-            await self._store.delete(PARTS_KIND, name)
-        except StoreError as error:
-            self._log.warn(
-                'An expired record stays.', record=name, cause=str(error)
-            )
-
-    def _decode(self, stored: StoredObject) -> Iterable[PartRecord]:
-        """Return the record of an object; an expired one is removed."""
-        try:
-            record = decode_record(stored.name, stored.body)
-        except FormatError as error:
-            self._log.warn(
-                'Ignored an unreadable record of prompt parts.',
-                record=stored.name,
-                cause=str(error),
-            )
-            return
-        if _is_current(record, time.time()):
-            yield record
-        else:
-            self._start(self._remove(stored.name))
-
     def _start(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _is_current(record: PartRecord, now_s: float) -> bool:
-    if isinstance(record, BlockedParts):
-        return record.is_current(now_s)
-    return now_s - record.ended_ms / MS_PER_S < EVIDENCE_S
--- /dev/null
+++ b/src/siskinpass/process/fleet/part_records.py
@@ -0,0 +1,122 @@
+"""Records about prompt parts that crash servers, in the store."""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from typing import Any
+
+from siskinpass.exceptions import (
+    FormatError,
+    StoreConflictError,
+    StoreError,
+)
+from siskinpass.platform.objects import StoredObject
+from siskinpass.platform.part_records import (
+    PARTS_KIND,
+    PartRecord,
+    decode_record,
+    encode_record,
+    record_name,
+)
+from siskinpass.process.blocked_parts import BlockedParts
+from siskinpass.process.fleet.store_client import StoreClient
+from siskinpass.process.logs import ComponentLog
+from siskinpass.process.part_crashes import BrokenRequest
+
+MS_PER_S = 1000
+WRITE_RETRY_S = 1.0
+# Delays before a request that a crash cut off is recorded, and recorded again.
+RECORD_DELAY_S = 1.0
+RECORD_AGAIN_S = 10.0
+# Age at which the record of a request that a crash cut off has expired.
+EVIDENCE_S = 600.0
+
+
+class PartRecords:
+    """Writer and reader of the records."""
+
+    def __init__(self, store: StoreClient) -> None:
+        self._store = store
+        self._log = ComponentLog('parts')
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def write_suspects(
+        self,
+        request: BrokenRequest,
+        suspects: Callable[[BrokenRequest], tuple[str, ...]],
+    ) -> None:
+        """Record the parts of a request that may have crashed its server.
+
+        Most of its parts are cleared soon, so that it is recorded a little
+        later, and once more with what is left then.
+
+        :param suspects: returns the parts of a request that are not cleared.
+        """
+        await asyncio.sleep(RECORD_DELAY_S)
+        parts = suspects(request)
+        if not parts:
+            return
+        await self.write(replace(request, parts=parts))
+        await asyncio.sleep(RECORD_AGAIN_S)
+        remaining = suspects(request)
+        if not remaining:
+            await self._remove(record_name(request))
+        elif remaining != parts:
+            await self.write(replace(request, parts=remaining))
+
+    async def write(self, record: PartRecord) -> None:
+        """Write a record to the store, until it has it."""
+        while not await self._try_record(record):
+            await asyncio.sleep(WRITE_RETRY_S)
+
+    async def _try_record(self, record: PartRecord) -> bool:
+        name, body = record_name(record), encode_record(record)
+        try:
+            await self._write(name, body)
+        except StoreError as error:
+            self._log.warn(
+                'Prompt parts are not recorded yet.',
+                record=name,
+                cause=str(error),
+            )
+            return False
+        return True
+
+    async def _write(self, name: str, body: dict[str, Any]) -> None:
+        try:
+            await self._store.create(PARTS_KIND, name, body)
+        except StoreConflictError:
+            await self._store.replace(PARTS_KIND, name, body)
+
+    async def _remove(self, name: str) -> None:
+        try:
+            await self._store.delete(PARTS_KIND, name)
+        except StoreError as error:
+            self._log.warn(
+                'An expired record stays.', record=name, cause=str(error)
+            )
+
+    def read(self, stored: StoredObject) -> Iterable[PartRecord]:
+        """Return the record of an object; an expired one is removed."""
+        try:
+            record = decode_record(stored.name, stored.body)
+        except FormatError as error:
+            self._log.warn(
+                'Ignored an unreadable record of prompt parts.',
+                record=stored.name,
+                cause=str(error),
+            )
+            return
+        if _is_current(record, time.time()):
+            yield record
+        else:
+            task = asyncio.ensure_future(self._remove(stored.name))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+
+def _is_current(record: PartRecord, now_s: float) -> bool:
+    if isinstance(record, BlockedParts):
+        return record.is_current(now_s)
+    return now_s - record.ended_ms / MS_PER_S < EVIDENCE_S
--- a/src/siskinpass/process/fleet/request_parts.py
+++ b/src/siskinpass/process/fleet/request_parts.py
@@ -45,9 +45,19 @@
         """Return whether the current attempt has brought any event."""
         return bool(self._first_event_s)
 
-    def check(self) -> None:
+    async def admit(self) -> None:
         """Refuse the request if it would crash a server.
 
+        Waits for a decision that is about to be made.
+
+        :raises RefusedError: if it must not be sent.
+        """
+        if self.names:
+            await self._guard.admit(self.names)
+
+    def check(self) -> None:
+        """Refuse the request if it is known to crash servers.
+
         :raises RefusedError: if it must not be sent.
         """
         if self.names:
--- a/src/siskinpass/process/part_crashes.py
+++ b/src/siskinpass/process/part_crashes.py
@@ -117,7 +117,7 @@
         common: frozenset[str] | None = None
         crashes = self._suspected.get(part, {}).values()
         for crash in sorted(crashes, key=_end):
-            suspects = self._suspects(crash)
+            suspects = self._suspects_of(crash)
             common = suspects if common is None else common & suspects
             later = [one for one in crash if one.sent_ms >= ended_ms]
             if later:
@@ -138,24 +138,34 @@
             if part in self._suspected
         )
 
+    def cleared_among(
+        self, pairs: Iterable[ClearedPart]
+    ) -> tuple[ClearedPart, ...]:
+        """Return those of some parts and servers that are cleared."""
+        return tuple(pair for pair in pairs if pair in self._cleared)
+
+    def suspects(self, request: BrokenRequest) -> tuple[str, ...]:
+        """Return the parts of a request that are not cleared."""
+        return tuple(
+            part
+            for part in request.parts
+            if (part, request.server) not in self._cleared
+        )
+
     def servers(self, part: str) -> list[str]:
         """Return the processes whose ends speak against a part."""
         return sorted(self._suspected.get(part, ()))
 
-    def _suspects(self, crash: Iterable[BrokenRequest]) -> frozenset[str]:
+    def _suspects_of(self, crash: Iterable[BrokenRequest]) -> frozenset[str]:
         """Return the parts that one crash speaks against."""
         return frozenset(
-            part
-            for request in crash
-            for part in request.parts
-            if (part, request.server) not in self._cleared
+            part for request in crash for part in self.suspects(request)
         )
 
     def _suspect(self, request: BrokenRequest) -> None:
-        for part in request.parts:
-            if (part, request.server) not in self._cleared:
-                by_server = self._suspected.setdefault(part, {})
-                by_server.setdefault(request.server, []).append(request)
+        for part in self.suspects(request):
+            by_server = self._suspected.setdefault(part, {})
+            by_server.setdefault(request.server, []).append(request)
 
     def _forget(self, request: BrokenRequest) -> None:
         for part in request.parts:
--- /dev/null
+++ b/tests/test_part_guard.py
@@ -0,0 +1,210 @@
+"""Test how instances agree on the prompt parts that crash servers."""
+
+import asyncio
+
+import orjson
+import pytest
+
+from siskinpass.codes import Code
+from siskinpass.exceptions import (
+    ConnectError,
+    RefusedError,
+    StoreConflictError,
+)
+from siskinpass.platform.part_records import decode_record
+from siskinpass.process.fleet import part_guard, part_records
+from siskinpass.process.metrics import Metrics
+from siskinpass.process.part_crashes import BEGUN_WEIGHT, BrokenRequest
+from siskinpass.request.ticket import ServerView
+
+BAD = 'bad'
+SYS = 'sys'
+RUN_MS = 100
+CRASH_MS = 1000
+TIME_SCALE = 0.1  # of the guard's waits, to keep the tests short
+
+
+class Backends:
+    """Servers of which none runs any more."""
+
+    async def connect(self, address, *, fresh):
+        raise ConnectError(Code.backend_unreachable) from ConnectionRefusedError
+
+
+class Store:
+    """Store that keeps the records.
+
+    :ivar records: bodies by name.
+    """
+
+    def __init__(self):
+        self.records = {}
+
+    async def create(self, kind, name, body):
+        if name in self.records:
+            raise StoreConflictError(Code.tree_conflict)
+        await self.replace(kind, name, body)
+
+    async def replace(self, kind, name, body):
+        self.records[name] = orjson.loads(orjson.dumps(body))
+
+    async def delete(self, kind, name):
+        self.records.pop(name, None)
+
+    @property
+    def broken_parts(self):
+        """Return the parts of the recorded requests."""
+        return {
+            part
+            for name, body in self.records.items()
+            if name.startswith('broken')
+            for part in decode_record(name, body).parts
+        }
+
+
+class Bus:
+    """Guards of some instances, and the announcements between them.
+
+    :ivar lost: topics of which the last instance gets nothing.
+    """
+
+    def __init__(self, count, store):
+        self.lost = set()
+        self.guards = [
+            part_guard.PartGuard(
+                Backends(),
+                store,
+                lambda topic, payload, number=number: self._announce(
+                    number, topic, payload
+                ),
+                Metrics(),
+            )
+            for number in range(count)
+        ]
+
+    def _announce(self, sender, topic, payload):
+        for number, guard in enumerate(self.guards):
+            is_lost = topic in self.lost and number == len(self.guards) - 1
+            if number != sender and not is_lost:
+                receive = {
+                    part_guard.BROKEN_TOPIC: guard.receive_broken,
+                    part_guard.CLEARED_TOPIC: guard.receive_cleared,
+                    part_guard.BLAMED_TOPIC: guard.receive_blamed,
+                    part_guard.BLOCKED_TOPIC: guard.receive_blocked,
+                }[topic]
+                receive(payload)
+
+
+def crash(number, *parts):
+    """Return the request that a crash cut off, and its server."""
+    server = ServerView(f'i-{number}', '127.0.0.1:1', 'app', incarnation=1)
+    ended_ms = number * CRASH_MS
+    request = BrokenRequest(
+        f'c-{number}',
+        f'{server.name}/1',
+        parts,
+        BEGUN_WEIGHT,
+        ended_ms - RUN_MS,
+        ended_ms,
+    )
+    return request, server
+
+
+def refuses(guard, *parts):
+    """Return whether a guard refuses a prompt."""
+    try:
+        guard.check(parts)
+    except RefusedError:
+        return True
+    return False
+
+
+@pytest.fixture(autouse=True)
+def _short_waits(monkeypatch):
+    for module, name in (
+        (part_guard, 'CONTEST_S'),
+        (part_records, 'RECORD_DELAY_S'),
+        (part_records, 'RECORD_AGAIN_S'),
+    ):
+        scaled = getattr(module, name) * TIME_SCALE
+        monkeypatch.setattr(module, name, scaled)
+
+
+async def settle(waits=2):
+    """Wait until all that is under way is decided and recorded."""
+    await asyncio.sleep(
+        waits * part_records.RECORD_DELAY_S + part_guard.CONTEST_S + 0.1
+    )
+
+
+class TestAgreement:
+    """Test instances that saw different things."""
+
+    def test_sound_part_is_not_blocked_by_who_missed_its_answers(self):
+        """One that heard only of crashes asks the others first."""
+
+        async def scenario():
+            bus = Bus(3, Store())
+            bus.lost.add(part_guard.CLEARED_TOPIC)
+            for number in range(1, 4):
+                bus.guards[0].note_broken(*crash(number, SYS, BAD))
+                await asyncio.sleep(2 * part_guard.CLOSE_DELAY_S)
+                bus.guards[1].clear((SYS, 'other'))
+            bus.lost.clear()
+            bus.guards[0].note_broken(*crash(4, SYS))
+            await settle()
+            return [
+                (refuses(guard, SYS, 'x'), refuses(guard, SYS, BAD))
+                for guard in bus.guards
+            ]
+
+        assert asyncio.run(scenario()) == [(False, True)] * 3
+
+    def test_requests_wait_for_the_decision(self):
+        """A part that is blamed reaches no server meanwhile."""
+
+        async def scenario():
+            guard = Bus(1, Store()).guards[0]
+            for number in range(1, 4):
+                guard.note_broken(*crash(number, BAD))
+            await asyncio.sleep(1.5 * part_guard.CLOSE_DELAY_S)
+            await asyncio.wait_for(guard.admit((SYS, 'x')), 0.01)
+            with pytest.raises(RefusedError):
+                await guard.admit((SYS, BAD))
+
+        asyncio.run(scenario())
+
+
+class TestRecords:
+    """Test what instances that start later find in the store."""
+
+    def test_cleared_parts_are_not_recorded(self):
+        """A part that was sound meanwhile is no suspect for them."""
+
+        async def scenario():
+            store = Store()
+            guard = Bus(1, store).guards[0]
+            guard.note_broken(*crash(1, SYS, BAD))
+            guard.note_broken(*crash(2, SYS))
+            await asyncio.sleep(1.5 * part_guard.CLOSE_DELAY_S)
+            guard.clear((SYS,))
+            await settle()
+            return store.broken_parts
+
+        assert asyncio.run(scenario()) == {BAD}
+
+    def test_parts_cleared_later_are_removed(self):
+        """A record is written again with the parts that are left."""
+
+        async def scenario():
+            store = Store()
+            guard = Bus(1, store).guards[0]
+            guard.note_broken(*crash(1, SYS, BAD))
+            guard.note_broken(*crash(2, SYS))
+            await settle()
+            before = store.broken_parts
+            guard.clear((SYS,))
+            await asyncio.sleep(part_records.RECORD_AGAIN_S + 0.1)
+            return before, store.broken_parts, len(store.records)
+
+        assert asyncio.run(scenario()) == ({SYS, BAD}, {BAD}, 1)
