--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SOURCES := src standins bench tests
 export UV_USE_IO_URING = 0
 
-.PHONY: test lint format demo bench chaos decision overhead capacity proto
+.PHONY: test lint format demo bench chaos soak decision overhead capacity proto
 
 $(READY): pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
@@ -40,6 +40,10 @@
 chaos: $(READY)
 	$(BIN)/python -m bench chaos --seed $(SEED) --minutes $(MINUTES) --broken '$(BREAK)'
 
+SEEDS ?= 1
+soak: $(READY)
+	$(BIN)/python -m bench soak --seed $(SEED) --seeds $(SEEDS) --instances $(INSTANCES)
+
 decision: $(READY)
 	$(BIN)/python -m bench decision
 
