Take a close that follows no event for no end of a resumed stream

What callers saw: a resumed stream was ended as complete before its last event, if the second server closed right after a head with neither a length nor chunks.

Cause: such a close counted as the end wherever the bytes so far, of all attempts together, ended after an event.

Test before: test_resumed_stream_without_any_event_is_broken_off got a whole answer; after: the answer is broken off. A framed answer without any further event still completes a stream.

--- a/src/siskinpass/platform/headers.py
+++ b/src/siskinpass/platform/headers.py
@@ -43,6 +43,7 @@
     b'content-length',
     b'expect',
 ))
+FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 # Headers that only this system may set. Those sent by a caller are not
 # forwarded, so that a caller cannot forge them.
 SYSTEM_HEADERS = frozenset((
@@ -107,6 +108,7 @@
         # header.
         not_run=NOT_RUN in by_name or status == STATUS_MISDIRECTED,
         is_encoded=b'content-encoding' in by_name,
+        is_framed=not FRAMING_HEADERS.isdisjoint(by_name),
         idle_s=_keep_alive_s(_header_text(by_name, b'keep-alive')),
         headers=_without(dropped, headers),
     )
--- a/src/siskinpass/process/fleet/answer.py
+++ b/src/siskinpass/process/fleet/answer.py
@@ -212,11 +212,13 @@
         self._unreported_bytes = 0
 
     def _end_stream(self) -> None:
-        if self._parser.is_whole and self._parser.count:
+        # A close that follows no event proves nothing.
+        is_proved = self._head.is_framed or self._has_progressed
+        if self._parser.is_whole and self._parser.count and is_proved:
             self._writer.begin(self._head)
             self._end(AttemptResult(None, self._head))
         else:
-            self._end(self._broken_off('the stream ended within an event'))
+            self._end(self._broken_off('the stream ended too early'))
 
     def _end_body(self) -> None:
         body = bytes(self._body)
--- a/src/siskinpass/process/fleet/part_guard.py
+++ b/src/siskinpass/process/fleet/part_guard.py
@@ -42,7 +42,6 @@
 # Time that the others have to object to the blame on a part. They announce
 # twice, ``ANNOUNCE_AGAIN_S`` apart.
 CONTEST_S = 0.5
-
 # An instance that refuses a request records its parts if the one that blocked
 # them seems to have failed to.
 UNRECORDED_S = 3.0
--- a/src/siskinpass/request/inbound.py
+++ b/src/siskinpass/request/inbound.py
@@ -158,6 +158,8 @@
         carry; empty where missing.
     :param not_run: whether the server states that it did not run the request.
     :param is_encoded: whether the body is compressed or otherwise encoded.
+    :param is_framed: whether the body has a length or chunks; one without
+        either ends with its connection.
     :param idle_s: how long the server keeps an idle connection open, 0 where
         it does not say.
     :param headers: headers to pass on to the caller.
@@ -170,6 +172,7 @@
     receipt: str = ''
     not_run: bool = False
     is_encoded: bool = False
+    is_framed: bool = True
     idle_s: float = 0.0
     headers: tuple[Header, ...] = ()
     notice: ServerNotice | None = None
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -212,6 +212,7 @@
         server wants no more of them.
     :param endless: requests run and answered with a body without end.
     :param trickles: streams that send one byte at a time, never a whole event.
+    :param empties: streams that end right after their heads.
     """
 
     declines: int = 0
@@ -222,6 +223,7 @@
     pauses: int = 0
     endless: int = 0
     trickles: int = 0
+    empties: int = 0
 
 
 @dataclass(slots=True)
@@ -323,6 +325,8 @@
             await asyncio.sleep(0)
 
     async def _stream(self, after: int) -> AsyncIterator[bytes]:
+        if self._consume_fault('empties'):
+            return
         is_cut = self._consume_fault('cuts')
         while self._consume_fault('trickles'):
             for _ in range(MAX_TRICKLED_BYTES):
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -34,6 +34,20 @@
 
         run_scenario(scenario)
 
+    def test_resumed_stream_without_any_event_is_broken_off(self):
+        """A close that brings nothing more does not complete the stream."""
+
+        async def scenario(fleet):
+            for server in fleet.servers:
+                server.is_framed = False
+            fleet.servers[0].faults.cuts = 1
+            fleet.servers[1].faults.empties = 1
+            answer = await fleet.ask('/stream/stream')
+            assert len(fleet.runs) == 2
+            assert not answer.is_whole
+
+        run_scenario(scenario)
+
     @pytest.mark.parametrize('path', ['/once/x', '/safe/x'])
     def test_plain_answer_is_whole_at_its_close(self, path):
         """The caller gets it with the receipt and a length."""
