Ignore announcements of limits that a later answer has overtaken

What callers would see: a server in need gets the requests of a limit that it has lowered since, for up to a second, or of none.

Cause: announcements are sent twice, 0.3 s apart, and the last one to arrive counted, also a repeated one of an earlier answer.

Change: an announcement carries the time of the answer, and what an earlier answer said is ignored; an ended limit is remembered for that. Found by reading; TestAnnouncements holds the orders (the code before had no time to compare).

--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -8,6 +8,9 @@
 
 from bench.fleet import server_entry, wait_until
 from siskinpass.codes import MEANINGS, Code
+from siskinpass.process.fleet.server_limits import ServerLimits
+from siskinpass.process.metrics import Metrics
+from siskinpass.process.server_pace import Sharing
 from tests.test_fleet import run_scenario
 from tests.test_server_notices import reach
 
@@ -170,6 +173,39 @@
         run_scenario(scenario)
 
 
+class TestAnnouncements:
+    """Test what an instance makes of announcements that overtake each other."""
+
+    @pytest.mark.parametrize(
+        ('payloads', 'expected'),
+        [
+            ([(5.0, 100), (1.0, 200)], 1.0),
+            ([(1.0, 200), (5.0, 100)], 1.0),
+            ([(1.0, 200), (None, 100)], 1.0),
+            ([(1.0, 200), (None, 300)], None),
+            ([(1.0, 200), (None, 300), (1.0, 200)], None),
+            ([(1.0, 200), (None, 300), (2.0, 400)], 2.0),
+        ],
+    )
+    def test_latest_answer_counts(self, payloads, expected):
+        """A repeated or late announcement does not undo a later one."""
+
+        async def scenario():
+            shares = {}
+            limits = ServerLimits(
+                lambda: Sharing('a', ('a',)),
+                shares.update,
+                lambda topic, payload: None,
+                Metrics(),
+            )
+            for per_s, at_ms in payloads:
+                limits.receive(['i-1', 1, per_s, at_ms])
+            return limits.known_limits
+
+        expected = {} if expected is None else {'i-1': expected}
+        assert asyncio.run(scenario()) == expected
+
+
 async def _know_a_limit(fleet):
     metrics = [await fleet.get('/metrics', 4, name) for name in fleet.processes]
     return all(b'kind="limit"} ' in one.body for one in metrics)
