--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -75,7 +75,7 @@
     instances: int = 9,
     faults: bool = True,
 ) -> None:
-    """Crash servers by prompts and name limits, beside other faults."""
+    """Crash servers by prompts and state limits, beside other faults."""
     failed = 0
     for number in range(seed, seed + seeds):
         sys.stdout.write(f'seed {number}\n')
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -2,7 +2,7 @@
 
 Real entry instances run as processes before stand-ins of the platform. Requests
 with one part crash the servers while sound ones share its caller and its other
-parts, servers name limits, and instances and the store are disturbed from
+parts, servers state limits, and instances and the store are disturbed from
 outside. What callers and servers saw is checked at the end.
 """
 
@@ -161,13 +161,13 @@
         self.seen.sent.append(_received(sent, answer))
 
     async def _inject_faults(self) -> None:
-        deck: list[Callable[[], Awaitable[None]]] = []
+        pending: list[Callable[[], Awaitable[None]]] = []
         while self._age_s() < self._plan.seconds - MAX_DOWN_S:
             await asyncio.sleep(FAULT_INTERVAL_S)
-            if not deck:
-                deck = self._faults()
-                self._rng.shuffle(deck)
-            fault = deck.pop()
+            if not pending:
+                pending = self._faults()
+                self._rng.shuffle(pending)
+            fault = pending.pop()
             self.counts[fault.__name__.strip('_')] += 1
             self._start(fault())
 
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -10,7 +10,7 @@
 WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
-TOLD_S = 0.5  # from an answer that names a limit until it binds its instance
+TOLD_S = 0.5  # from an answer that states a limit until it binds its instance
 ANSWER_S = 0.5  # longest that a server without trouble takes for an answer
 MIN_SOUND = 20  # requests below which a share says nothing
 BAD = 'bad'
@@ -70,7 +70,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NamedLimit:
-    """Time during which a server's process named a limit."""
+    """Time during which a server's process stated a limit."""
 
     process: str
     per_s: float
--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -134,7 +134,7 @@
     def _refuse_if_all_closed(self, ticket: Ticket) -> None:
         """Refuse a ticket that no server can take before it expires.
 
-        Servers may have asked for a pause, or named limits whose share of this
+        Servers may have asked for a pause, or stated limits whose share of this
         instance is used up.
         """
         now_s = self._loop.time()
@@ -202,7 +202,7 @@
             self._apply(pool, SharesChanged(self._shares))
 
     def apply_shares(self, shares: Mapping[str, Share]) -> None:
-        """Replace this instance's shares of the limits that servers name."""
+        """Replace this instance's shares of the servers' rate limits."""
         self._shares = shares
         for pool in self._brokers:
             self._apply(pool, SharesChanged(shares))
--- a/src/siskinpass/process/fleet/notices.py
+++ b/src/siskinpass/process/fleet/notices.py
@@ -15,7 +15,7 @@
     """Receiver of the servers' notices.
 
     :param pauses: where a server's request for a pause is recorded.
-    :param limits: where the limits that servers name are recorded.
+    :param limits: where the rate limits that servers state are recorded.
     :param on_leaving: called with each server that announces its end.
     """
 
--- a/src/siskinpass/process/fleet/server_limits.py
+++ b/src/siskinpass/process/fleet/server_limits.py
@@ -1,4 +1,4 @@
-"""Keep the limits that servers name, together with the other instances."""
+"""Keep the rate limits of servers together with the other instances."""
 
 import asyncio
 import time
@@ -14,7 +14,7 @@
 MS_PER_S = 1000
 LIMIT_TOPIC = 'limit'  # of announcements to the other instances
 # Instances that start later hear of a limit within this time, as long as any
-# of the others gets answers that name it.
+# of the others gets answers that state it.
 ANNOUNCE_S = 1.0
 
 
@@ -22,9 +22,10 @@
 class _Limit:
     """Limit of one server.
 
-    :param incarnation: process of the server that named it.
-    :param per_s: requests a second, ``None`` if it names none any more.
-    :param answered_ms: when the answer came that named or ended it, in Unix ms.
+    :param incarnation: process of the server that stated it.
+    :param per_s: requests a second, ``None`` if it states none any more.
+    :param answered_ms: when the answer came that stated or ended it, in Unix
+        ms.
     :param named_s: when this instance last heard of it.
     :param announced_s: when this instance last told the others.
     """
@@ -75,9 +76,9 @@
         """Record what an answer says of its server's limit.
 
         An answer without one ends the limit, unless its request was sent before
-        the last answer that named it: answers may overtake each other.
+        the last answer that stated it: answers may overtake each other.
 
-        :param per_s: requests a second, ``None`` if the answer names no limit.
+        :param per_s: requests a second, ``None`` if the answer states no limit.
         :param sent_s: when the request was sent, on the event loop's clock.
         """
         known = self._known(server.name, server.incarnation)
--- a/src/siskinpass/process/placement.py
+++ b/src/siskinpass/process/placement.py
@@ -155,7 +155,7 @@
     def set_share(self, share: Share | None, now_s: float) -> None:
         """Set this instance's share of the server's limit.
 
-        :param share: ``None`` if the server names no limit.
+        :param share: ``None`` if the server states no limit.
         """
         if share is None:
             self.pace = None
@@ -308,7 +308,7 @@
     def set_shares(self, shares: Mapping[str, Share], now_s: float) -> None:
         """Replace this instance's shares of the servers' limits.
 
-        :param shares: by server name; servers left out name no limit.
+        :param shares: by server name; servers left out state no limit.
         """
         for name, server in self._servers.items():
             server.set_share(shares.get(name), now_s)
--- a/src/siskinpass/process/server_pace.py
+++ b/src/siskinpass/process/server_pace.py
@@ -1,9 +1,9 @@
 """Divide the request rate that a server allows among the instances.
 
-Pure logic. A server in need names the requests a second that it takes from all
-instances together. Some instances, chosen by rendezvous hashing, share the rate
-and send at an even pace; the others do not use the server. Instances with the
-same view of the membership agree without a message.
+Pure logic. An overloaded server states the requests a second that it takes from
+all instances together. Some instances, chosen by rendezvous hashing, share the
+rate and send at an even pace; the others do not use the server. Instances with
+the same view of the membership agree without a message.
 
 With few instances or a high rate all of them share it. With many instances and
 a low rate each would wait so long between two requests that chance alone, with
--- a/src/siskinpass/request/inbound.py
+++ b/src/siskinpass/request/inbound.py
@@ -138,7 +138,7 @@
     :param pause_s: time for which the server wants no requests from this
         instance, in seconds; 0 for none.
     :param limit_per_s: requests a second that the server takes from all
-        instances together, ``None`` if it names no limit.
+        instances together, ``None`` if it states no limit.
     :param unreadable: headers whose values could not be read; they change
         nothing.
     """
--- a/src/siskinpass/request/ticket.py
+++ b/src/siskinpass/request/ticket.py
@@ -271,9 +271,9 @@
 
 @dataclass(frozen=True, slots=True)
 class SharesChanged:
-    """This instance's shares of the limits that servers name have changed.
+    """This instance's shares of the servers' rate limits have changed.
 
-    :param shares: by server; the others name no limit.
+    :param shares: by server; the others state no limit.
     """
 
     shares: Mapping[str, Share]
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -1,4 +1,4 @@
-"""Test that servers get no more requests than the limits that they name."""
+"""Test that servers get no more requests than they state to take."""
 
 import asyncio
 import itertools
@@ -107,7 +107,7 @@
         run_scenario(scenario, instances=INSTANCES)
 
     def test_lifted_limit_is_forgotten_everywhere(self):
-        """The server is used as before once its answers name none."""
+        """The server is used as before once its answers state none."""
 
         async def scenario(fleet):
             limited = fleet.servers[0]
@@ -126,7 +126,7 @@
         run_scenario(scenario, instances=INSTANCES)
 
     def test_new_process_of_a_server_has_no_limit(self):
-        """The limit ends with the process that named it."""
+        """The limit ends with the process that stated it."""
 
         async def scenario(fleet):
             limited = fleet.servers[0]
