Report an instance as ready only once it accepts callers

Cause: readiness followed the state of the instance, and the callers' listener was opened after that by another task. On a busy machine there was time for a connection in between. It is a fault of the instance, not of the test: callers are sent to instances that are ready.

Change: readiness is told once the callers' and the directory's listeners are open, as OPERATIONS.md says.

--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -83,6 +83,7 @@
             settings.operator_bounds.directory_s,
         )
         self._stopping = asyncio.Event()
+        self._accepts_callers = False
         self._callers: set[HttpCaller] = set()
         self._listeners: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -260,6 +261,7 @@
         settings = self._settings
         await self._listen(settings.callers, self._forwarder.serve)
         await self._listen(settings.directory, self._serve_directory)
+        self._accepts_callers = True
         self._log.note(
             'The instance accepts callers.', version=self._state.version
         )
@@ -352,7 +354,7 @@
         caller: HttpCaller,
         request: WireRequest,
     ) -> None:
-        is_ready = self._state.ready.is_set() and not self._stopping.is_set()
+        is_ready = self._accepts_callers and not self._stopping.is_set()
         caller.answer(STATUS_OK if is_ready else STATUS_UNAVAILABLE)
 
     def _serve_metrics(self, caller: HttpCaller, request: WireRequest) -> None:
--- a/src/siskinpass/process/server_pace.py
+++ b/src/siskinpass/process/server_pace.py
@@ -22,11 +22,9 @@
 # Fraction of the rate that is used. The rest covers instances that for a moment
 # disagree on who shares it.
 USED_FRACTION = 0.9
-# Rate used for servers that name a lower one. Only an answer shows that a
+# Rate used for servers that state a lower one. Only an answer shows that a
 # server takes more again.
 MIN_LIMIT_PER_S = 0.05
-
-
 NO_SHARE = Share(math.inf, math.inf)
 
 
