Decide in one place whether a body is framed

Change: is_framed stands beside the decoded forms and serves both. Behaviour stays: tests of backend connections, headers and unframed answers.

--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -12,7 +12,7 @@
 from siskinpass.codes import Code
 from siskinpass.connection.sockets import SocketTimeouts, tune_socket
 from siskinpass.exceptions import BackendError, ConnectError
-from siskinpass.request.inbound import Header
+from siskinpass.request.inbound import Header, is_framed
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 8.0
@@ -228,8 +228,7 @@
 def _ends_at_close(status: int, headers: tuple[Header, ...]) -> bool:
     if status in STATUSES_WITHOUT_BODY:
         return False
-    names = {name.lower() for name, _ in headers}
-    return not names & {b'content-length', b'transfer-encoding'}
+    return not is_framed(headers)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/siskinpass/platform/headers.py
+++ b/src/siskinpass/platform/headers.py
@@ -12,6 +12,7 @@
     SendContext,
     ServerNotice,
     WireRequest,
+    is_framed,
 )
 
 CALL_ID = b'x-attempt-id'
@@ -43,7 +44,6 @@
     b'content-length',
     b'expect',
 ))
-FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 # Headers that only this system may set. Those sent by a caller are not
 # forwarded, so that a caller cannot forge them.
 SYSTEM_HEADERS = frozenset((
@@ -108,7 +108,7 @@
         # header.
         not_run=NOT_RUN in by_name or status == STATUS_MISDIRECTED,
         is_encoded=b'content-encoding' in by_name,
-        is_framed=not FRAMING_HEADERS.isdisjoint(by_name),
+        is_framed=is_framed(headers),
         idle_s=_keep_alive_s(_header_text(by_name, b'keep-alive')),
         headers=_without(dropped, headers),
     )
--- a/src/siskinpass/request/inbound.py
+++ b/src/siskinpass/request/inbound.py
@@ -1,11 +1,21 @@
 """Decoded forms of callers' requests and of backend servers' responses."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 Header = tuple[bytes, bytes]
 STATUS_OK = 200
 STATUS_REDIRECT = 300
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
+
+
+def is_framed(headers: Iterable[Header]) -> bool:
+    """Return whether a body has a length or chunks.
+
+    One without either ends with its connection.
+    """
+    return any(name.lower() in FRAMING_HEADERS for name, _ in headers)
 
 
 @dataclass(frozen=True, slots=True)
