Keep one way to abort an attempt

Cause: abort() only wrapped _abort() with a check that the end of an attempt makes anyway: without a connection nothing is closed, and a finished attempt keeps its result. Change: the private method becomes the public one. Behaviour stays: tests of server notices, crashing parts and the fleet.

--- a/src/siskinpass/process/fleet/answer.py
+++ b/src/siskinpass/process/fleet/answer.py
@@ -114,8 +114,8 @@
 
     def abort(self, cause: str) -> None:
         """Fail the attempt and close the connection."""
-        if not self.finished.done():
-            self._abort(cause)
+        self.cancel()
+        self._end(self._failure_result(cause))
 
     def cancel(self) -> None:
         """Close the connection, so that the server stops its work."""
@@ -137,7 +137,7 @@
             )
             remaining_s = self._last_progress_s + allowed_s - self._loop.time()
             if remaining_s <= 0:
-                self._abort(f'no progress for {allowed_s:.1f} s')
+                self.abort(f'no progress for {allowed_s:.1f} s')
             await asyncio.wait((self.finished,), timeout=max(0, remaining_s))
         return await self.finished
 
@@ -173,7 +173,7 @@
         if self._unreported_bytes >= MIN_PROGRESS_BYTES:
             self._note_progress()
         if len(self._body) > MAX_BODY_BYTES:
-            self._abort('the body is too large')
+            self.abort('the body is too large')
 
     def receive_end(self) -> None:
         """End the attempt with the complete answer."""
@@ -199,7 +199,7 @@
         try:
             events = self._parser.feed(piece, self._loop.time())
         except BackendError as error:
-            self._abort(str(error))
+            self.abort(str(error))
             return
         if events:
             self._note_progress()
@@ -229,10 +229,6 @@
         else:
             self._end(AttemptResult(AttemptOutcome.failed, self._head, body))
 
-    def _abort(self, cause: str) -> None:
-        self.cancel()
-        self._end(self._failure_result(cause))
-
     def _broken_off(self, cause: str) -> AttemptResult:
         return replace(self._failure_result(cause), is_broken_off=True)
 
