Keep background tasks in one small class

Cause: the guard of prompt parts and its records each kept a set of tasks with the same four lines. Change: BackgroundTasks serves both. The relay's set also counts and awaits its tasks, and stays. Behaviour stays: test_part_guard.py.

--- a/src/siskinpass/process/fleet/part_guard.py
+++ b/src/siskinpass/process/fleet/part_guard.py
@@ -10,13 +10,14 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import astuple
 from typing import Any
 
 from siskinpass.codes import Code
 from siskinpass.connection.backend import BackendPool
 from siskinpass.exceptions import ConnectError, RefusedError
+from siskinpass.process.background import BackgroundTasks
 from siskinpass.process.blocked_parts import BLOCK_S, BlockedParts, BlockList
 from siskinpass.process.fleet.part_records import PartRecords
 from siskinpass.process.fleet.store_client import StoreClient
@@ -74,7 +75,7 @@
         self._blocks = BlockList()
         self._recorded: set[frozenset[str]] = set()
         self._probes: dict[str, asyncio.Task[bool]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks()
         self._listeners: list[OnBlocked] = []
         self._contests: dict[frozenset[str], asyncio.Task[None]] = {}
 
@@ -138,7 +139,7 @@
         A server that still accepts connections, or that cannot be reached at
         all, has not crashed.
         """
-        self._start(self._check_server(request, server))
+        self._background.start(self._check_server(request, server))
 
     def receive_broken(self, payload: list[list[Any]]) -> None:
         """Take in requests that another instance saw break off."""
@@ -229,7 +230,7 @@
             self._metrics.noticed('crash')
             self._announce(BROKEN_TOPIC, (astuple(request),))
             if request.weight == BEGUN_WEIGHT:
-                self._start(
+                self._background.start(
                     self._records.write_suspects(
                         request, self._crashes.suspects
                     )
@@ -292,13 +293,8 @@
             BLOCKED_TOPIC, ((sorted(blocked.parts), blocked.asked_s),)
         )
         self._recorded.add(blocked.parts)
-        self._start(self._records.write(blocked))
+        self._background.start(self._records.write(blocked))
 
     def _is_unrecorded(self, found: BlockedParts, now_s: float) -> bool:
         is_old = now_s - found.asked_s >= UNRECORDED_S
         return is_old and found.parts not in self._recorded
-
-    def _start(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/src/siskinpass/process/fleet/part_records.py
+++ b/src/siskinpass/process/fleet/part_records.py
@@ -19,6 +19,7 @@
     encode_record,
     record_name,
 )
+from siskinpass.process.background import BackgroundTasks
 from siskinpass.process.blocked_parts import BlockedParts
 from siskinpass.process.fleet.store_client import StoreClient
 from siskinpass.process.logs import ComponentLog
@@ -39,7 +40,7 @@
     def __init__(self, store: StoreClient) -> None:
         self._store = store
         self._log = ComponentLog('parts')
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks()
 
     async def write_suspects(
         self,
@@ -111,9 +112,7 @@
         if _is_current(record, time.time()):
             yield record
         else:
-            task = asyncio.ensure_future(self._remove(stored.name))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._background.start(self._remove(stored.name))
 
 
 def _is_current(record: PartRecord, now_s: float) -> bool:
