Look for grants once for each list of servers, not twice

Cause: each new list of servers was followed by the shares of limited servers, and each event looks through the waiting tickets, also where no server is limited. Change: the shares follow only if there are any; a lifted limit is told on its own. Not measured alone; tests of the assigner and the pace pass.

--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -199,7 +199,9 @@
             kv_capacity_tokens = self._policy_for(pool).kv_capacity_tokens
             self.broker(pool).table.cache.resize(kv_capacity_tokens)
             self._apply(pool, ServersListed(tuple(by_pool.get(pool, ()))))
-            self._apply(pool, SharesChanged(self._shares))
+            if self._shares:
+                # A server that is new here may be limited already.
+                self._apply(pool, SharesChanged(self._shares))
 
     def apply_shares(self, shares: Mapping[str, Share]) -> None:
         """Replace this instance's shares of the servers' rate limits."""
