Share the bounds and servers of the soak with the tests

Cause: the bounds of BUDGET and LIMIT, the busiest window, the whole stream and the start of a crashing server stood in the soak and again in the tests. Change: the tests use those of the soak and of the harness.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -17,7 +17,7 @@
     SMALL_FLEET,
     SMALL_FLEET_VARIABLE,
 )
-from standins.fleet import BackendServer, ObjectStore
+from standins.fleet import BackendServer, ObjectStore, RestartingServer
 from standins.http_server import Connections, serve
 
 WAIT_S = 20.0
@@ -26,6 +26,10 @@
 MAX_FIRST_PORT = 25_000  # the tests take far fewer than the ports above it
 PORTS = itertools.count(random.randrange(MIN_PORT, MAX_FIRST_PORT))
 HOST = 'h.example'
+# Body of a whole stream of a server.
+WHOLE = b''.join(
+    f'id: {number}\ndata: x{number}\n\n'.encode() for number in range(1, 9)
+)
 KEY = 'key-1'
 SETTINGS = """
 node-name: "{name}"
@@ -308,6 +312,23 @@
     } | more
 
 
+async def start_crashing_server(
+    fleet: Fleet, number: int, part: str
+) -> RestartingServer:
+    """Start a backend server that crashes on one prompt part.
+
+    :param number: distinguishes the servers of a fleet.
+    """
+    server = RestartingServer(
+        f'i-{number}',
+        fleet.store,
+        server_entry(free_ports(1)[0]),
+        frozenset((part,)),
+    )
+    await server.start()
+    return server
+
+
 async def accepts(port):
     """Return whether anything listens on a port."""
     try:
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -20,12 +20,12 @@
 from dataclasses import dataclass
 
 from bench.fleet import (
+    WHOLE,
     Answer,
     Fleet,
     config,
-    free_ports,
     running_fleet,
-    server_entry,
+    start_crashing_server,
 )
 from bench.soak_checks import (
     BAD,
@@ -59,9 +59,6 @@
 MAX_SHOWN = 10  # violations
 ENTRY_EXPIRY_S = 3.6  # of servers that have ended: three heartbeats
 PEER_PORT = 3  # of an instance's ports
-WHOLE = b''.join(
-    f'id: {number}\ndata: x{number}\n\n'.encode() for number in range(1, 9)
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -320,7 +317,8 @@
         instances=plan.instances, servers=0, small_fleet=plan.small_fleet
     ) as fleet:
         servers = [
-            await _start_server(fleet, number) for number in range(SERVERS)
+            await start_crashing_server(fleet, number, BAD_PART)
+            for number in range(SERVERS)
         ]
         await asyncio.sleep(FAULT_INTERVAL_S)
         run = Soak(fleet, servers, plan)
@@ -333,17 +331,6 @@
     return SoakResult(find_violations(run.seen), run.counts)
 
 
-async def _start_server(fleet: Fleet, number: int) -> RestartingServer:
-    server = RestartingServer(
-        f'i-{number}',
-        fleet.store,
-        server_entry(free_ports(1)[0]),
-        frozenset((BAD_PART,)),
-    )
-    await server.start()
-    return server
-
-
 def show(outcome: SoakResult) -> None:
     """Print the outcome of a run."""
     for name, count in sorted(outcome.counts.items()):
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -135,6 +135,11 @@
     )
 
 
+def allowed_requests(limit_per_s: float) -> float:
+    """Return how many requests a limited server may get in a window."""
+    return LIMIT_FACTOR * limit_per_s * WINDOW_S + LIMIT_SLACK
+
+
 def _check_budget(seen: Observations) -> Iterable[str]:
     if len(seen.crashes_s) < BUDGET_CRASHES:
         return
@@ -164,7 +169,7 @@
             and not seen.is_excused(one.instance, one.at_s)
         ]
         found = busiest_window(times_s)
-        allowed = LIMIT_FACTOR * limit.per_s * WINDOW_S + LIMIT_SLACK
+        allowed = allowed_requests(limit.per_s)
         if found > allowed:
             yield (
                 f'{limit.process} named {limit.per_s} a second and got {found} '
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -8,23 +8,20 @@
 
 from bench.fleet import (
     accepts,
-    free_ports,
     running_fleet,
-    server_entry,
+    start_crashing_server,
     wait_until,
 )
+from bench.soak_checks import BUDGET_CRASHES, BUDGET_REQUESTS, CONTACT_S
 from siskinpass.codes import MEANINGS, Code
 from siskinpass.process.fleet.settings import SMALL_FLEET
-from standins.fleet import RestartingServer, shared_parts
+from standins.fleet import shared_parts
 from tests.test_fleet import WHOLE, run_scenario
 
 BAD = 'bad0'
 SHARED = 'sys0'
 INSTANCES = 3
 SERVERS = 4
-CONTACT_S = 3.0  # the contact time of the operator's bounds
-BUDGET_CRASHES = 5
-BUDGET_REQUESTS = 3  # that may reach servers later than that
 MAX_REQUESTS = 20
 
 
@@ -32,16 +29,10 @@
 async def crashing_fleet(instances=INSTANCES, **more):
     """Run a fleet before servers that crash on one part."""
     async with running_fleet(instances=instances, servers=0, **more) as fleet:
-        servers = []
-        for number in range(SERVERS):
-            server = RestartingServer(
-                f'i-{number}',
-                fleet.store,
-                server_entry(free_ports(1)[0]),
-                frozenset((BAD,)),
-            )
-            await server.start()
-            servers.append(server)
+        servers = [
+            await start_crashing_server(fleet, number, BAD)
+            for number in range(SERVERS)
+        ]
         for name in fleet.processes:
             await wait_until(
                 lambda name=name: _is_served(fleet, name), f'{name} to serve'
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,6 +7,7 @@
 
 from bench.fleet import (
     ROUTES,
+    WHOLE,
     config,
     exchange,
     route,
@@ -16,8 +17,6 @@
 )
 from siskinpass.codes import MEANINGS, Code
 
-WHOLE = b''.join(f'id: {n}\ndata: x{n}\n\n'.encode() for n in range(1, 9))
-
 POST = b'POST /once/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n'
 TWO_LENGTHS = POST + b'Content-Length: 5\r\n\r\nbodyx'
 LENGTH_AND_CHUNKS = POST + b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -7,6 +7,12 @@
 import pytest
 
 from bench.fleet import server_entry, wait_until
+from bench.soak_checks import (
+    CONTACT_S,
+    WINDOW_S,
+    allowed_requests,
+    busiest_window,
+)
 from siskinpass.codes import MEANINGS, Code
 from siskinpass.process.fleet.server_limits import ServerLimits
 from siskinpass.process.metrics import Metrics
@@ -15,31 +21,10 @@
 from tests.test_server_notices import reach
 
 INSTANCES = 4
-CONTACT_S = 3.0  # the contact time of the operator's bounds
-WINDOW_S = 4.0
-FACTOR = 1.5
-SLACK = 5
 REQUESTS_PER_S = 20
 LOAD_S = CONTACT_S + WINDOW_S + 1.0
 
 
-def allowed(limit_per_s):
-    """Return how many requests may arrive in a window."""
-    return FACTOR * limit_per_s * WINDOW_S + SLACK
-
-
-def busiest_window(times_s):
-    """Return the largest number of arrivals in any window."""
-    ordered = sorted(times_s)
-    return max(
-        (
-            sum(start_s <= one < start_s + WINDOW_S for one in ordered)
-            for start_s in ordered
-        ),
-        default=0,
-    )
-
-
 async def send_load(fleet, seconds, path='/once/x'):
     """Send requests at an even pace, to all instances in turn.
 
@@ -81,7 +66,9 @@
             limited.arrival_times_s.clear()
             answers = await send_load(fleet, LOAD_S)
             assert {answer.status for answer in answers} == {200}
-            assert busiest_window(limited.arrival_times_s) <= allowed(1)
+            assert busiest_window(limited.arrival_times_s) <= allowed_requests(
+                1
+            )
 
         run_scenario(scenario, instances=INSTANCES)
 
@@ -102,7 +89,9 @@
                 await process.wait()
                 await fleet.start(name)
             await load
-            assert busiest_window(limited.arrival_times_s) <= allowed(1)
+            assert busiest_window(limited.arrival_times_s) <= allowed_requests(
+                1
+            )
 
         run_scenario(scenario, instances=INSTANCES)
 
--- a/tests/test_server_pace.py
+++ b/tests/test_server_pace.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bench.soak_checks import WINDOW_S, allowed_requests, busiest_window
 from siskinpass.process.broker import Broker
 from siskinpass.process.fleet.policy import fleet_policy
 from siskinpass.process.server_pace import (
@@ -26,7 +27,6 @@
     Ticket,
     TicketOpened,
 )
-from tests.test_server_limits import WINDOW_S, allowed, busiest_window
 
 STEP_S = 0.05
 PLAYED_S = 30.0
@@ -141,7 +141,7 @@
             change_views(instances, everyone, now_s, rng)
             ordered = rng.sample(instances, len(instances))
             sent_s.extend(now_s for one in ordered if one.send(now_s))
-        assert busiest_window(sent_s) <= allowed(limit_per_s)
+        assert busiest_window(sent_s) <= allowed_requests(limit_per_s)
         assert len(sent_s) >= 0.5 * limit_per_s * (PLAYED_S - WINDOW_S)
 
 
