Look at the servers for limits only while any has stated one

Cause: every 0.4 s, and with each list, an instance went through all servers and its fellow instances although no server was limited: work that grows with the servers. Change: nothing is done then. Shares are already empty once the last limit is gone. Not measured; tests of the server limits pass.

--- a/src/siskinpass/process/fleet/server_limits.py
+++ b/src/siskinpass/process/fleet/server_limits.py
@@ -105,6 +105,8 @@
 
         :param servers: all listed servers.
         """
+        if not self._limits:
+            return
         listed = {server.name: server.incarnation for server in servers}
         self._limits = {
             name: limit
