Test two safeguards of the blocked parts that no test held

The delay before a server's connections show that it has ended, and the expiry of records, could be taken out without a test noticing. Seen red in scratch copies: without the delay test_idle_connection_about_to_close_hides_no_crash, without the check of the age both rows of test_expired_records_are_removed that are old. Nothing in src changes.

--- a/tests/test_part_guard.py
+++ b/tests/test_part_guard.py
@@ -1,6 +1,7 @@
 """Test how instances agree on the prompt parts that crash servers."""
 
 import asyncio
+import time
 
 import orjson
 import pytest
@@ -11,8 +12,16 @@
     RefusedError,
     StoreConflictError,
 )
-from siskinpass.platform.part_records import decode_record
+from siskinpass.platform.objects import StoredObject
+from siskinpass.platform.part_records import (
+    PARTS_KIND,
+    decode_record,
+    encode_record,
+    record_name,
+)
+from siskinpass.process.blocked_parts import BLOCK_S, BlockedParts
 from siskinpass.process.fleet import part_guard, part_records
+from siskinpass.process.fleet.watch import Listed
 from siskinpass.process.metrics import Metrics
 from siskinpass.process.part_crashes import BEGUN_WEIGHT, BrokenRequest
 from siskinpass.request.ticket import ServerView
@@ -21,6 +30,7 @@
 SYS = 'sys'
 RUN_MS = 100
 CRASH_MS = 1000
+IDLE_CLOSE_S = 0.02
 TIME_SCALE = 0.1  # of the guard's waits, to keep the tests short
 
 
@@ -31,6 +41,21 @@
         raise ConnectError(Code.backend_unreachable) from ConnectionRefusedError
 
 
+class ClosingBackends(Backends):
+    """Servers that end, whose idle connections are closed a little later."""
+
+    def __init__(self):
+        self._closed_s = asyncio.get_running_loop().time() + IDLE_CLOSE_S
+
+    def give_back(self):
+        """Take back an idle connection that is still open."""
+
+    async def connect(self, address, *, fresh):
+        if asyncio.get_running_loop().time() < self._closed_s:
+            return self
+        return await super().connect(address, fresh=fresh)
+
+
 class Store:
     """Store that keeps the records.
 
@@ -68,11 +93,11 @@
     :ivar lost: topics of which the last instance gets nothing.
     """
 
-    def __init__(self, count, store):
+    def __init__(self, count, store, backends=None):
         self.lost = set()
         self.guards = [
             part_guard.PartGuard(
-                Backends(),
+                backends or Backends(),
                 store,
                 lambda topic, payload, number=number: self._announce(
                     number, topic, payload
@@ -160,6 +185,18 @@
 
         assert asyncio.run(scenario()) == [(False, True)] * 3
 
+    def test_idle_connection_about_to_close_hides_no_crash(self):
+        """A server's end closes its connections one after the other."""
+
+        async def scenario():
+            guard = Bus(1, Store(), ClosingBackends()).guards[0]
+            for number in range(1, 4):
+                guard.note_broken(*crash(number, BAD))
+            await settle()
+            return refuses(guard, BAD)
+
+        assert asyncio.run(scenario())
+
     def test_requests_wait_for_the_decision(self):
         """A part that is blamed reaches no server meanwhile."""
 
@@ -208,3 +245,36 @@
             return before, store.broken_parts, len(store.records)
 
         assert asyncio.run(scenario()) == ({SYS, BAD}, {BAD}, 1)
+
+    @pytest.mark.parametrize('is_old', [True, False])
+    @pytest.mark.parametrize('kind', [BlockedParts, BrokenRequest])
+    def test_expired_records_are_removed(self, kind, is_old):
+        """Whoever reads one that has expired removes it and ignores it."""
+
+        async def scenario():
+            store = Store()
+            guard = Bus(1, store).guards[0]
+            record = aged_record(kind, is_old=is_old)
+            name = record_name(record)
+            await store.create(PARTS_KIND, name, encode_record(record))
+            stored = StoredObject(name, 1, store.records[name])
+            guard.apply_store(Listed((stored,)))
+            await asyncio.sleep(0.01)
+            return list(store.records), len(guard.blocked)
+
+        names, blocked = asyncio.run(scenario())
+        assert bool(names) is not is_old
+        assert blocked == (kind is BlockedParts and not is_old)
+
+
+def aged_record(kind, *, is_old):
+    """Return a record of one kind, of now or older than it may be."""
+    now_s = time.time()
+    if kind is BlockedParts:
+        age_s = BLOCK_S if is_old else 0
+        return BlockedParts(frozenset((BAD,)), now_s - age_s)
+    age_s = part_records.EVIDENCE_S if is_old else 0
+    ended_ms = int((now_s - age_s) * CRASH_MS)
+    return BrokenRequest(
+        'c', 'i-1/1', (BAD,), BEGUN_WEIGHT, ended_ms - RUN_MS, ended_ms
+    )
