Log the identity of a request whose attempt failed

The logs of the incident of a crashing request cannot tell one request that comes again from several requests of one route: call ids are new each time. Bodies are not logged or kept.

--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -496,6 +496,7 @@
             cause=attempt_result.cause,
             status=attempt_result.head.status if attempt_result.head else 0,
             step=step.value,
+            request=self._parts.identity,
             parts=self._parts.names[:MAX_LOGGED_PARTS],
             head_age_ms=(
                 None
--- a/src/siskinpass/process/fleet/request_parts.py
+++ b/src/siskinpass/process/fleet/request_parts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from functools import cached_property
 
 from siskinpass.process.fleet.answer import AttemptResult
 from siskinpass.process.fleet.part_guard import PartGuard
@@ -11,6 +12,7 @@
     WAITING_WEIGHT,
     BrokenRequest,
 )
+from siskinpass.request.identity import request_identity
 from siskinpass.request.inbound import InboundRequest
 from siskinpass.request.ticket import ServerView
 
@@ -29,12 +31,17 @@
 
     def __init__(self, guard: PartGuard, call: InboundRequest) -> None:
         self._guard = guard
-        self._call_id = call.call_id
+        self._call = call
         self._loop = asyncio.get_running_loop()
         self._sent_s = 0.0
         self._first_event_s = 0.0
         self.names = shared_part_names(call.prompt)
 
+    @cached_property
+    def identity(self) -> str:
+        """Return a digest of the request, the same if it comes again."""
+        return request_identity(self._call)
+
     @property
     def is_blocked(self) -> bool:
         """Return whether the request must not be sent."""
@@ -102,7 +109,7 @@
         age_s = self._loop.time() - self._sent_s
         has_begun = attempt_result.head and not attempt_result.has_progressed
         return BrokenRequest(
-            self._call_id,
+            self._call.call_id,
             f'{server.name}/{server.incarnation}',
             self.names,
             BEGUN_WEIGHT if has_begun else WAITING_WEIGHT,
