--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -17,7 +17,12 @@
     SMALL_FLEET,
     SMALL_FLEET_VARIABLE,
 )
-from standins.fleet import BackendServer, ObjectStore, RestartingServer
+from standins.fleet import (
+    BackendServer,
+    CrashCauses,
+    ObjectStore,
+    RestartingServer,
+)
 from standins.http_server import Connections, serve
 
 WAIT_S = 20.0
@@ -146,22 +151,22 @@
         name='front-1',
         key=KEY,
         more='',
-        port=0,
         call='id-1',
+        body='body',
     ):
         """Send one request to an instance and return its answer.
 
         :param more: further header lines.
-        :param port: port in place of the instance's own.
         :param call: request id.
+        :param body: text of the body.
         """
-        port = port or self.ports[name][0]
         wire = (
             f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {call}\r\n'
             f'Authorization: Bearer {key}\r\nX-Deadline-Ms: 5000\r\n'
-            f'{more}Connection: close\r\nContent-Length: 4\r\n\r\nbody'
+            f'{more}Connection: close\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n{body}'
         )
-        return await exchange(port, wire.encode())
+        return await exchange(self.ports[name][0], wire.encode())
 
     async def get(self, path, kind, name='front-1'):
         """Send a GET request to one of an instance's other listeners.
@@ -313,9 +318,9 @@
 
 
 async def start_crashing_server(
-    fleet: Fleet, number: int, part: str
+    fleet: Fleet, number: int, causes: CrashCauses
 ) -> RestartingServer:
-    """Start a backend server that crashes on one prompt part.
+    """Start a backend server that crashes on some requests.
 
     :param number: distinguishes the servers of a fleet.
     """
@@ -323,7 +328,7 @@
         f'i-{number}',
         fleet.store,
         server_entry(free_ports(1)[0]),
-        frozenset((part,)),
+        causes,
     )
     await server.start()
     return server
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -41,10 +41,11 @@
 )
 from siskinpass.process.fleet.loads import ANNOUNCE_AGAIN_S
 from siskinpass.process.fleet.node import LOADS_PORT_STEP
-from standins.fleet import BackendServer, RestartingServer
+from standins.fleet import BackendServer, CrashCauses, RestartingServer
 
 SERVERS = 6
 BAD_PART = 'bad0'
+CAUSES = CrashCauses(parts=frozenset((BAD_PART,)))
 SUBJECTS = 8
 # Requests a second by kind.
 RATES = ((SOUND, 24.0), (ONCE, 6.0), (BAD, 4.0))
@@ -317,7 +318,7 @@
         instances=plan.instances, servers=0, small_fleet=plan.small_fleet
     ) as fleet:
         servers = [
-            await start_crashing_server(fleet, number, BAD_PART)
+            await start_crashing_server(fleet, number, CAUSES)
             for number in range(SERVERS)
         ]
         await asyncio.sleep(FAULT_INTERVAL_S)
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, field
 
 CONTACT_S = 3.0  # the contact time of the operator's bounds
-BUDGET_CRASHES = 5
+BUDGET_CRASHES = 5  # under one part
+REQUEST_CRASHES = 3  # under one request
 BUDGET_REQUESTS = 3  # that may reach servers later than these crashes
 WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -240,6 +240,8 @@
     :param sent_bytes: bytes of endless bodies sent so far.
     :param crashing_parts: prompt parts under which the server's process ends as
         soon as it begins an answer.
+    :param crashing_bodies: bodies under which the process ends as soon as it
+        begins to run a request.
     :param on_crash: called when it does.
     :param is_framed: whether answers have a length or chunks; the others end
         with their connection.
@@ -256,6 +258,7 @@
     notices: dict[str, str] = field(default_factory=dict)
     sent_bytes: int = 0
     crashing_parts: frozenset[str] = frozenset()
+    crashing_bodies: frozenset[bytes] = frozenset()
     on_crash: Callable[[], None] | None = None
     is_framed: bool = True
 
@@ -282,6 +285,10 @@
         if 'Retry-After' in refusal or self._consume_fault('declines'):
             return Response(503, headers=refusal)
         self.runs.append(request)
+        if request.body in self.crashing_bodies:
+            await asyncio.sleep(self.gap_s)
+            self.on_crash()
+            raise HangUpError
         if self._consume_fault('hang_ups'):
             raise HangUpError
         if self._consume_fault('silent'):
@@ -349,15 +356,27 @@
     return [entry.partition(':')[0] for entry in entries[:-1]]
 
 
+@dataclass(frozen=True, slots=True)
+class CrashCauses:
+    """What ends the process of a backend server.
+
+    :param parts: prompt parts under which it ends as it begins an answer.
+    :param bodies: bodies under which it ends as it begins to run a request.
+    """
+
+    parts: frozenset[str] = frozenset()
+    bodies: frozenset[bytes] = frozenset()
+
+
 class RestartingServer:
-    """Backend server whose process ends on some prompt parts.
+    """Backend server whose process ends on some requests.
 
     It starts again after a while, at the same address and under a new id. The
     entry of the process that ended stays for a while.
 
     :param store: where it registers.
     :param entry: registration without what changes at a start.
-    :param crashing_parts: prompt parts under which a process ends.
+    :param causes: what ends a process.
     :ivar arrivals: requests that its processes ran, in order.
     :ivar crash_times_s: when processes ended, on the monotonic clock.
     :ivar processes: all of its processes, the current one last.
@@ -368,14 +387,14 @@
         name: str,
         store: ObjectStore,
         entry: dict[str, Any],
-        crashing_parts: frozenset[str],
+        causes: CrashCauses,
     ) -> None:
         self.name = name
         self._store = store
         self._entry = entry
         self._connections = Connections()
         self._listener: asyncio.Server | None = None
-        self._crashing_parts = crashing_parts
+        self._causes = causes
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_running = False
         self.restart_s = RESTART_S
@@ -397,7 +416,8 @@
         """Listen and register as a new process."""
         server = BackendServer(
             f'{self.name}-{self.crashes}',
-            crashing_parts=self._crashing_parts,
+            crashing_parts=self._causes.parts,
+            crashing_bodies=self._causes.bodies,
             on_crash=self.crash,
             runs=self.arrivals,
         )
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -15,10 +15,11 @@
 from bench.soak_checks import BUDGET_CRASHES, BUDGET_REQUESTS, CONTACT_S
 from siskinpass.codes import MEANINGS, Code
 from siskinpass.process.fleet.settings import SMALL_FLEET
-from standins.fleet import shared_parts
+from standins.fleet import CrashCauses, shared_parts
 from tests.test_fleet import WHOLE, run_scenario
 
 BAD = 'bad0'
+CAUSES = CrashCauses(parts=frozenset((BAD,)))
 SHARED = 'sys0'
 INSTANCES = 3
 SERVERS = 4
@@ -30,7 +31,7 @@
     """Run a fleet before servers that crash on one part."""
     async with running_fleet(instances=instances, servers=0, **more) as fleet:
         servers = [
-            await start_crashing_server(fleet, number, BAD)
+            await start_crashing_server(fleet, number, CAUSES)
             for number in range(SERVERS)
         ]
         for name in fleet.processes:
