--- a/src/siskinpass/codes.py
+++ b/src/siskinpass/codes.py
@@ -52,6 +52,8 @@
     servers_paused = 2011
     part_blocked = 2012
     servers_limited = 2013
+    request_blocked = 2014
+    request_suspected = 2015
 
     backend_unreachable = 3001
     stream_cut = 3002
@@ -154,6 +156,10 @@
     Code.servers_limited: _refused(
         'The limits of all backend servers are used up.',
     ),
+    Code.request_blocked: _refused('This request crashes backend servers.'),
+    Code.request_suspected: _refused(
+        'Backend servers ended under this request; none is idle to try it.',
+    ),
     Code.backend_unreachable: Meaning(
         502,
         Ran.not_run,
--- a/src/siskinpass/process/background.py
+++ b/src/siskinpass/process/background.py
@@ -10,8 +10,9 @@
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def start(self, work: Coroutine[None, None, None]) -> None:
+    def start(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Start a coroutine and keep its task until it ends."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
--- a/src/siskinpass/process/blocked_parts.py
+++ b/src/siskinpass/process/blocked_parts.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from itertools import starmap
 
+from siskinpass.request.identity import is_identity
+
 # Time without any request after which parts are tried again.
 BLOCK_S = 900.0
 # Age of the last request at which an instance that refuses another one tells
@@ -30,6 +32,11 @@
     parts: frozenset[str]
     asked_s: float
 
+    @property
+    def is_request(self) -> bool:
+        """Return whether only repeats of one request are blocked."""
+        return any(map(is_identity, self.parts))
+
     def is_current(self, now_s: float) -> bool:
         """Return whether requests with the parts are refused."""
         return now_s - self.asked_s < BLOCK_S
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -253,7 +253,7 @@
         finally:
             self._release(ticket, attempt_result)
         self._avoid = view.name
-        self._parts.judge(
+        await self._parts.judge(
             attempt_result,
             view,
             is_listed=self._context.assigner.is_serving(view),
@@ -497,7 +497,7 @@
             status=attempt_result.head.status if attempt_result.head else 0,
             step=step.value,
             request=self._parts.identity,
-            parts=self._parts.names[:MAX_LOGGED_PARTS],
+            parts=self._parts.parts[:MAX_LOGGED_PARTS],
             head_age_ms=(
                 None
                 if attempt_result.head_age_s is None
--- a/src/siskinpass/process/fleet/part_guard.py
+++ b/src/siskinpass/process/fleet/part_guard.py
@@ -30,6 +30,8 @@
     ClearedPart,
     PartCrashes,
 )
+from siskinpass.request.identity import is_identity
+from siskinpass.request.isolation import SUSPICIOUS_CRASHES
 from siskinpass.request.ticket import ServerView
 
 MS_PER_S = 1000
@@ -40,6 +42,9 @@
 BLOCKED_TOPIC = 'blocked'
 # Time after which the idle connections to a server that ended are closed.
 CLOSE_DELAY_S = 0.05
+# Longest wait for the result of the check whether a server has ended: one that
+# cannot be reached at all delays it.
+VERDICT_S = 0.15
 # Time that the others have to object to the blame on a part. They announce
 # twice, ``ANNOUNCE_AGAIN_S`` apart.
 CONTEST_S = 0.5
@@ -84,6 +89,15 @@
         """Return all blocked parts."""
         return self._blocks.current(time.time())
 
+    @property
+    def is_watching(self) -> bool:
+        """Return whether anything is suspected or blocked."""
+        return bool(self.blocked) or not self._crashes.is_empty
+
+    def crashes_of(self, name: str) -> int:
+        """Return how many servers have ended under a request or a part."""
+        return self._crashes.count(name)
+
     def subscribe(self, listener: OnBlocked) -> None:
         """Call a function with all parts that are blocked from now on."""
         self._listeners.append(listener)
@@ -119,7 +133,8 @@
         if found.needs_renewal(now_s) or self._is_unrecorded(found, now_s):
             self._block(BlockedParts(found.parts, now_s))
         raise RefusedError(
-            Code.part_blocked, retry_after_ms=int(BLOCK_S * MS_PER_S)
+            Code.request_blocked if found.is_request else Code.part_blocked,
+            retry_after_ms=int(BLOCK_S * MS_PER_S),
         )
 
     def is_blocked(self, parts: tuple[str, ...]) -> bool:
@@ -133,13 +148,16 @@
             self._announce(CLEARED_TOPIC, cleared)
             self._check_beside(cleared)
 
-    def note_broken(self, request: BrokenRequest, server: ServerView) -> None:
+    async def note_broken(
+        self, request: BrokenRequest, server: ServerView
+    ) -> None:
         """Record that an answer broke off, if its server has ended.
 
         A server that still accepts connections, or that cannot be reached at
-        all, has not crashed.
+        all, has not crashed. Returns once that is known, or seems to take long.
         """
-        self._background.start(self._check_server(request, server))
+        check = self._background.start(self._check_server(request, server))
+        await asyncio.wait((check,), timeout=VERDICT_S)
 
     def receive_broken(self, payload: list[list[Any]]) -> None:
         """Take in requests that another instance saw break off."""
@@ -229,13 +247,25 @@
             )
             self._metrics.noticed('crash')
             self._announce(BROKEN_TOPIC, (astuple(request),))
-            if request.weight == BEGUN_WEIGHT:
+            self._add_broken((request,))
+            for one in self._worth_recording(request):
                 self._background.start(
-                    self._records.write_suspects(
-                        request, self._crashes.suspects
-                    )
+                    self._records.write_suspects(one, self._crashes.suspects)
                 )
-            self._add_broken((request,))
+
+    def _worth_recording(
+        self, request: BrokenRequest
+    ) -> Iterable[BrokenRequest]:
+        """Return the requests that instances that start later should know.
+
+        Most of those that a crash cuts off are sound. Those that fell in an
+        earlier crash too, or as their answers began, are few.
+        """
+        if request.weight == BEGUN_WEIGHT:
+            yield request
+        for name in filter(is_identity, request.parts):
+            if self._crashes.count(name) >= SUSPICIOUS_CRASHES:
+                yield from self._crashes.requests(name)
 
     async def _is_gone(self, address: str) -> bool:
         # A process that ends closes all its connections, idle ones too.
--- a/src/siskinpass/process/fleet/request_parts.py
+++ b/src/siskinpass/process/fleet/request_parts.py
@@ -23,10 +23,10 @@
 
 
 class RequestParts:
-    """Parts of one prompt that other prompts may share.
+    """What one request has in common with others, and with its repeats.
 
-    :param guard: is told what the attempts show.
-    :ivar names: names of the parts.
+    :param guard: receives what the attempts show.
+    :ivar parts: names of the prompt parts that other prompts may share.
     """
 
     def __init__(self, guard: PartGuard, call: InboundRequest) -> None:
@@ -35,17 +35,22 @@
         self._loop = asyncio.get_running_loop()
         self._sent_s = 0.0
         self._first_event_s = 0.0
-        self.names = shared_part_names(call.prompt)
+        self.parts = shared_part_names(call.prompt)
 
     @cached_property
     def identity(self) -> str:
         """Return a digest of the request, the same if it comes again."""
         return request_identity(self._call)
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Return the names of the parts and of the request itself."""
+        return (*self.parts, self.identity)
+
     @property
     def is_blocked(self) -> bool:
         """Return whether the request must not be sent."""
-        return bool(self.names) and self._guard.is_blocked(self.names)
+        return self._guard.is_watching and self._guard.is_blocked(self.names)
 
     @property
     def has_events(self) -> bool:
@@ -59,7 +64,7 @@
 
         :raises RefusedError: if it must not be sent.
         """
-        if self.names:
+        if self._guard.is_watching:
             await self._guard.admit(self.names)
 
     def check(self) -> None:
@@ -67,7 +72,7 @@
 
         :raises RefusedError: if it must not be sent.
         """
-        if self.names:
+        if self._guard.is_watching:
             self._guard.check(self.names)
 
     def start_attempt(self) -> None:
@@ -79,28 +84,32 @@
         """Record that events arrived; an answer that goes on is sound."""
         now_s = self._loop.time()
         self._first_event_s = self._first_event_s or now_s
-        if self.names and now_s - self._first_event_s >= SOUND_S:
-            self._guard.clear(self.names)
+        if now_s - self._first_event_s >= SOUND_S:
+            self._clear()
 
-    def judge(
+    async def judge(
         self,
         attempt_result: AttemptResult,
         server: ServerView,
         *,
         is_listed: bool,
     ) -> None:
-        """Tell the guard what the end of an attempt shows.
+        """Report to the guard what the end of an attempt shows.
+
+        Returns once it is known whether the server has ended too.
 
         :param is_listed: whether the server should still be there; the end of
             one that was leaving is no crash.
         """
-        if not self.names:
-            return
         if attempt_result.is_success:
-            self._guard.clear(self.names)
+            self._clear()
         elif is_listed and _is_suspicious(attempt_result):
             request = self._broken_request(attempt_result, server)
-            self._guard.note_broken(request, server)
+            await self._guard.note_broken(request, server)
+
+    def _clear(self) -> None:
+        if self._guard.is_watching:
+            self._guard.clear(self.names)
 
     def _broken_request(
         self, attempt_result: AttemptResult, server: ServerView
--- a/src/siskinpass/process/fleet/tickets.py
+++ b/src/siskinpass/process/fleet/tickets.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from siskinpass.request.identity import is_identity
 from siskinpass.request.inbound import InboundRequest, Prompt
 from siskinpass.request.ticket import PromptPiece, Ticket
 from siskinpass.version.routes import Route, RouteTable
@@ -40,11 +41,14 @@
     :param ticket_id: unique in the process.
     :param now_s: start of the attempt, on the event loop's clock.
     :param avoid: backend server of the previous attempt, which failed.
+    :param crashes: servers that have ended under the request, one after the
+        other.
     """
 
     ticket_id: str
     now_s: float
     avoid: str = ''
+    crashes: int = 0
 
 
 def make_ticket(
@@ -69,6 +73,7 @@
         pieces=hash_parts(prompt),
         pausable=False,
         avoid=attempt.avoid,
+        crashes=attempt.crashes,
         tokens_in=prompt.tokens_in,
         is_tight=plan.table.is_tight(route),
     )
@@ -84,10 +89,13 @@
 def shared_part_names(prompt: Prompt) -> tuple[str, ...]:
     """Return the names of the parts that other prompts may share.
 
-    Long names, which callers choose, are replaced by hashes.
+    Callers choose the names. Long ones, and those that look like the name of a
+    request, are replaced by hashes.
     """
     return tuple(
-        part.key if len(part.key) <= MAX_NAME_LENGTH else f'{_hash(part.key):x}'
+        f'{_hash(part.key):x}'
+        if len(part.key) > MAX_NAME_LENGTH or is_identity(part.key)
+        else part.key
         for part in prompt.shared_parts[:MAX_NAMED_PARTS]
     )
 
--- a/src/siskinpass/process/part_crashes.py
+++ b/src/siskinpass/process/part_crashes.py
@@ -1,8 +1,10 @@
-"""Find the prompt parts that crash backend servers.
+"""Find the prompt parts and requests that crash backend servers.
 
 Pure logic. On some parts a server's process ends as soon as it begins to write
-an answer, whatever else the prompt holds. A crash also cuts off sound requests,
-and those that crash servers share most of their parts with sound ones. So
+an answer, whatever else the prompt holds; under some requests it ends as soon
+as it begins to run them. The name of a request counts as one more part of it,
+which only its repeats share. A crash also cuts off sound requests, and those
+that crash servers share most of their parts with sound ones. So
 
 - parts are blamed only after several crashes one after the other. Of requests
   that were open at the same time one counts, since servers may end together for
@@ -18,6 +20,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from siskinpass.request.identity import is_identity
+
 # Weights of a crash. A server that had sent the head of an answer and nothing
 # of its body was just beginning to write it; one that had sent no head may not
 # have looked at the request at all.
@@ -25,6 +29,9 @@
 WAITING_WEIGHT = 3
 # Three crashes as an answer began, or five of requests that waited.
 BLAME_WEIGHT = 15
+# Crashes that suffice if one request was in all of them: servers rarely end
+# under the same one by chance.
+REQUEST_CRASHES = 3
 # The oldest are forgotten.
 MAX_REQUESTS = 1000
 MAX_CLEARED = 10_000
@@ -38,7 +45,8 @@
 
     :param call: id of the request.
     :param server: the process that ended.
-    :param parts: names of the parts that other prompts may share.
+    :param parts: names of the parts that other prompts may share, and of the
+        request itself.
     :param weight: how much the crash speaks against them.
     :param sent_ms: when the request was sent, in Unix ms.
     :param ended_ms: when its answer broke off, in Unix ms.
@@ -63,6 +71,11 @@
         # By part and server, without what was cleared.
         self._suspected: dict[str, dict[str, list[BrokenRequest]]] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether nothing is suspected."""
+        return not self._suspected
+
     def merge(
         self, requests: Iterable[BrokenRequest]
     ) -> tuple[BrokenRequest, ...]:
@@ -112,20 +125,25 @@
         :returns: the given part alone, if no other one was in the prompts of
             all crashes; empty if it is not to blame.
         """
-        weight = 0
-        ended_ms = 0
-        common: frozenset[str] | None = None
+        weights = self._weights(part)
         crashes = self._suspected.get(part, {}).values()
-        for crash in sorted(crashes, key=_end):
-            suspects = self._suspects_of(crash)
-            common = suspects if common is None else common & suspects
-            later = [one for one in crash if one.sent_ms >= ended_ms]
-            if later:
-                weight += max(one.weight for one in later)
-                ended_ms = max(one.ended_ms for one in crash)
-        if common is None or weight < BLAME_WEIGHT:
-            return frozenset()
-        return common
+        suspects = [self._suspects_of(crash) for crash in crashes]
+        common = frozenset.intersection(*suspects) if suspects else frozenset()
+        is_one_request = any(map(is_identity, common))
+        if sum(weights) >= BLAME_WEIGHT or (
+            is_one_request and len(weights) >= REQUEST_CRASHES
+        ):
+            return common
+        return frozenset()
+
+    def count(self, name: str) -> int:
+        """Return how many crashes, one after the other, a name was in."""
+        return len(self._weights(name))
+
+    def requests(self, name: str) -> tuple[BrokenRequest, ...]:
+        """Return the requests whose ends speak against a name."""
+        crashes = self._suspected.get(name, {}).values()
+        return tuple(request for crash in crashes for request in crash)
 
     def parts_beside(self, cleared: Iterable[ClearedPart]) -> frozenset[str]:
         """Return the parts that were suspected together with cleared ones."""
@@ -156,6 +174,18 @@
         """Return the processes whose ends speak against a part."""
         return sorted(self._suspected.get(part, ()))
 
+    def _weights(self, name: str) -> list[int]:
+        """Return the weight of each crash, without those at the same time."""
+        weights = []
+        ended_ms = 0
+        crashes = self._suspected.get(name, {}).values()
+        for crash in sorted(crashes, key=_end):
+            later = [one for one in crash if one.sent_ms >= ended_ms]
+            if later:
+                weights.append(max(one.weight for one in later))
+                ended_ms = max(one.ended_ms for one in crash)
+        return weights
+
     def _suspects_of(self, crash: Iterable[BrokenRequest]) -> frozenset[str]:
         """Return the parts that one crash speaks against."""
         return frozenset(
--- a/src/siskinpass/request/identity.py
+++ b/src/siskinpass/request/identity.py
@@ -5,10 +5,12 @@
 from siskinpass.request.inbound import InboundRequest
 
 DIGEST_BYTES = 12
+# Names of requests are kept beside names of prompt parts.
+PREFIX = 'request/'
 
 
 def request_identity(call: InboundRequest) -> str:
-    """Return a digest that is the same whenever a request comes again.
+    """Return a name that is the same whenever a request comes again.
 
     It covers what the request is and who sends it, but not the headers that
     differ with each attempt, such as its id and its time limit.
@@ -27,4 +29,9 @@
         # The lengths keep apart what the fields hold.
         digest.update(b'%d:' % len(text))
         digest.update(text)
-    return digest.hexdigest()
+    return f'{PREFIX}{digest.hexdigest()}'
+
+
+def is_identity(name: str) -> bool:
+    """Return whether a name is that of a request."""
+    return name.startswith(PREFIX)
--- a/src/siskinpass/request/ticket.py
+++ b/src/siskinpass/request/ticket.py
@@ -11,6 +11,7 @@
 from itertools import zip_longest
 
 from siskinpass.codes import Code
+from siskinpass.request.isolation import ServerEnded
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +49,8 @@
     :param resumed: whether some tokens were already delivered.
     :param avoid: backend server that just failed for this request, empty for
         none.
+    :param crashes: backend servers that have ended under the request, one after
+        the other.
     :param paused: backend servers that asked this instance for a pause, each
         with its end on the clock; they are never chosen before it.
     :param token_s: target for the mean time between tokens, 0 for none.
@@ -72,6 +75,7 @@
     pausable: bool = True
     resumed: bool = False
     avoid: str = ''
+    crashes: int = 0
     paused: tuple[tuple[str, float], ...] = ()
     token_s: float = 0.0
     pieces: tuple[PromptPiece, ...] = ()
@@ -299,6 +303,7 @@
     | PromptPlaced
     | ServersListed
     | SharesChanged
+    | ServerEnded
 )
 Event = (
     TicketOpened
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -6,6 +6,8 @@
 import pytest
 
 from bench.fleet import (
+    WHOLE,
+    accepts,
     running_fleet,
     start_crashing_server,
     wait_until,
@@ -15,6 +17,8 @@
     CONTACT_S,
     REQUEST_CRASHES,
 )
+from siskinpass.codes import MEANINGS, Code
+from siskinpass.process.fleet.settings import SMALL_FLEET
 from standins.fleet import CrashCauses
 
 BAD = 'crash'
@@ -82,6 +86,40 @@
     asyncio.run(asyncio.wait_for(run(), 90))
 
 
+async def _is_refused(fleet, name, path):
+    """Return whether an instance knows that the request must not be sent."""
+    try:
+        answer = await fleet.ask(path, name=name, call='probe', body=BAD)
+    except OSError:
+        return False
+    return MEANINGS[Code.request_blocked].text.encode() in answer.body
+
+
+async def _is_refused_everywhere(fleet, path):
+    for name in fleet.processes:
+        await wait_until(
+            lambda name=name: _is_refused(fleet, name, path),
+            f'a refusal by {name}',
+        )
+
+
+async def restart_all(fleet):
+    """Kill all instances at once and start them again."""
+    for process in fleet.processes.values():
+        process.kill()
+    for name, process in tuple(fleet.processes.items()):
+        await process.wait()
+        await fleet.start(name)
+    for name, (port, *_) in fleet.ports.items():
+        await wait_until(lambda port=port: accepts(port), f'{name} to listen')
+
+
+def records(fleet, kind):
+    """Return the names of the records of one kind in the store."""
+    names = fleet.store.names('siskinpass-prompt-parts')
+    return [name for name in names if name.startswith(f'{kind}-')]
+
+
 class TestBudget:
     """Test how many servers one request can crash."""
 
@@ -102,3 +140,71 @@
             assert bad_arrivals(servers) - before <= BUDGET_REQUESTS
 
         run_crashing(scenario)
+
+    @pytest.mark.parametrize('path', ['/safe/x', '/stream/x'])
+    def test_other_requests_of_its_caller_go_on(self, path):
+        """Only the request itself is refused, with a time to come back."""
+
+        async def scenario(fleet, servers):
+            await crash_servers(fleet, servers, path)
+            await _is_refused_everywhere(fleet, path)
+            for name in fleet.processes:
+                answer = await fleet.ask(path, name=name, call=f'ok-{name}')
+                assert answer.status == 200
+                assert answer.is_whole
+                refused = await fleet.ask(path, name=name, body=BAD)
+                assert refused.status == MEANINGS[Code.request_blocked].status
+                assert float(refused.header('Retry-After')) > CONTACT_S
+
+        run_crashing(scenario)
+
+    @pytest.mark.parametrize('small_fleet', [SMALL_FLEET, 1])
+    def test_restarted_fleet_knows_the_request(self, small_fleet):
+        """The block outlives all instances, whoever reads the store."""
+
+        async def scenario(fleet, servers):
+            await crash_servers(fleet, servers, '/safe/x')
+            await _is_refused_everywhere(fleet, '/safe/x')
+            await wait_until(lambda: records(fleet, 'blocked'), 'the record')
+            before = bad_arrivals(servers)
+            await restart_all(fleet)
+            await _is_refused_everywhere(fleet, '/safe/x')
+            assert bad_arrivals(servers) == before
+
+        run_crashing(scenario, instances=4, small_fleet=small_fleet)
+
+    def test_crashes_before_a_restart_count(self):
+        """A fleet that was killed needs only one more crash."""
+
+        async def scenario(fleet, servers):
+            for number in range(2):
+                await fleet.ask('/once/x', call=f'bad-{number}', body=BAD)
+            await wait_until(
+                lambda: len(records(fleet, 'broken')) == 2, 'the records'
+            )
+            await restart_all(fleet)
+            await _is_refused_everywhere(fleet, '/once/x')
+            assert crashes(servers) == REQUEST_CRASHES
+
+        run_crashing(scenario)
+
+    def test_sound_request_that_fell_with_it_is_served(self):
+        """A request that was in one crash too is sent on and answered."""
+
+        async def scenario(fleet, servers):
+            for server in servers:
+                server.process.gap_s = 0.3
+            beside = asyncio.gather(
+                *(
+                    fleet.ask(
+                        '/stream/x', call=f'beside-{number}', body=f'{number}'
+                    )
+                    for number in range(6)
+                )
+            )
+            await fleet.ask('/once/x', call='bad', body=BAD)
+            assert crashes(servers) == 1
+            for answer in await beside:
+                assert answer.body == WHOLE
+
+        run_crashing(scenario)
--- a/tests/test_part_crashes.py
+++ b/tests/test_part_crashes.py
@@ -17,14 +17,17 @@
 from siskinpass.process.part_crashes import (
     BEGUN_WEIGHT,
     MAX_REQUESTS,
+    REQUEST_CRASHES,
     WAITING_WEIGHT,
     BrokenRequest,
     PartCrashes,
 )
+from siskinpass.request.identity import PREFIX
 
 SECOND_MS = 1000
 RUN_MS = 200
 BAD = 'bad'
+REQUEST = f'{PREFIX}0a1b'
 
 
 def broken(number, *parts, weight=BEGUN_WEIGHT, sent_ms=None, server=''):
@@ -61,6 +64,39 @@
         )
         assert (known.blamed(BAD) == {BAD}) is is_blamed
 
+    @pytest.mark.parametrize(
+        ('crashes', 'is_blamed'),
+        [(REQUEST_CRASHES - 1, False), (REQUEST_CRASHES, True)],
+    )
+    def test_one_request_in_all_crashes(self, crashes, is_blamed):
+        """A request that comes again is blamed before any of its parts."""
+        known = PartCrashes()
+        known.merge(
+            broken(number, REQUEST, 'sys', weight=WAITING_WEIGHT)
+            for number in range(crashes)
+        )
+        known.clear(['sys'])
+        assert known.count(REQUEST) == crashes
+        assert (known.blamed(REQUEST) == {REQUEST}) is is_blamed
+
+    def test_requests_beside_it_are_not_blamed(self):
+        """Each crash may cut off others that have nothing in common."""
+        known = PartCrashes()
+        for number in range(REQUEST_CRASHES):
+            beside = f'{REQUEST}-{number}'
+            for name in (REQUEST, beside):
+                known.merge([broken(number, name, weight=WAITING_WEIGHT)])
+        assert known.blamed(REQUEST) == {REQUEST}
+        assert not known.blamed(f'{REQUEST}-0')
+
+    def test_answered_request_is_not_blamed(self):
+        """An answer shows that none of the crashes before was its fault."""
+        known = PartCrashes()
+        for number in range(2 * REQUEST_CRASHES):
+            known.merge([broken(number, REQUEST, weight=WAITING_WEIGHT)])
+            known.clear([REQUEST] if number % 2 else ())
+        assert not known.blamed(REQUEST)
+
     def test_servers_that_end_together_count_once(self):
         """Requests that were open at the same time show nothing more."""
         known = PartCrashes()
--- a/tests/test_part_guard.py
+++ b/tests/test_part_guard.py
@@ -41,6 +41,13 @@
         raise ConnectError(Code.backend_unreachable) from ConnectionRefusedError
 
 
+class SilentBackends:
+    """Servers behind a path that carries nothing."""
+
+    async def connect(self, address, *, fresh):
+        raise ConnectError(Code.backend_unreachable) from TimeoutError
+
+
 class ClosingBackends(Backends):
     """Servers that end, whose idle connections are closed a little later."""
 
@@ -135,6 +142,11 @@
     return request, server
 
 
+def report(guard, request, server):
+    """Report a request that a crash cut off."""
+    return asyncio.ensure_future(guard.note_broken(request, server))
+
+
 def refuses(guard, *parts):
     """Return whether a guard refuses a prompt."""
     try:
@@ -172,11 +184,11 @@
             bus = Bus(3, Store())
             bus.lost.add(part_guard.CLEARED_TOPIC)
             for number in range(1, 4):
-                bus.guards[0].note_broken(*crash(number, SYS, BAD))
+                report(bus.guards[0], *crash(number, SYS, BAD))
                 await asyncio.sleep(2 * part_guard.CLOSE_DELAY_S)
                 bus.guards[1].clear((SYS, 'other'))
             bus.lost.clear()
-            bus.guards[0].note_broken(*crash(4, SYS))
+            report(bus.guards[0], *crash(4, SYS))
             await settle()
             return [
                 (refuses(guard, SYS, 'x'), refuses(guard, SYS, BAD))
@@ -191,19 +203,34 @@
         async def scenario():
             guard = Bus(1, Store(), ClosingBackends()).guards[0]
             for number in range(1, 4):
-                guard.note_broken(*crash(number, BAD))
+                report(guard, *crash(number, BAD))
             await settle()
             return refuses(guard, BAD)
 
         assert asyncio.run(scenario())
 
+    @pytest.mark.parametrize(
+        ('backends', 'is_blocked'), [(SilentBackends, False), (Backends, True)]
+    )
+    def test_silent_path_blames_nothing(self, backends, is_blocked):
+        """Only a refused connection shows that a server has ended."""
+
+        async def scenario():
+            guard = Bus(1, Store(), backends()).guards[0]
+            for number in range(1, 6):
+                await guard.note_broken(*crash(number, BAD))
+            await settle()
+            return refuses(guard, BAD)
+
+        assert asyncio.run(scenario()) is is_blocked
+
     def test_requests_wait_for_the_decision(self):
         """A part that is blamed reaches no server meanwhile."""
 
         async def scenario():
             guard = Bus(1, Store()).guards[0]
             for number in range(1, 4):
-                guard.note_broken(*crash(number, BAD))
+                report(guard, *crash(number, BAD))
             await asyncio.sleep(1.5 * part_guard.CLOSE_DELAY_S)
             await asyncio.wait_for(guard.admit((SYS, 'x')), 0.01)
             with pytest.raises(RefusedError):
@@ -221,8 +248,8 @@
         async def scenario():
             store = Store()
             guard = Bus(1, store).guards[0]
-            guard.note_broken(*crash(1, SYS, BAD))
-            guard.note_broken(*crash(2, SYS))
+            report(guard, *crash(1, SYS, BAD))
+            report(guard, *crash(2, SYS))
             await asyncio.sleep(1.5 * part_guard.CLOSE_DELAY_S)
             guard.clear((SYS,))
             await settle()
@@ -236,8 +263,8 @@
         async def scenario():
             store = Store()
             guard = Bus(1, store).guards[0]
-            guard.note_broken(*crash(1, SYS, BAD))
-            guard.note_broken(*crash(2, SYS))
+            report(guard, *crash(1, SYS, BAD))
+            report(guard, *crash(2, SYS))
             await settle()
             before = store.broken_parts
             guard.clear((SYS,))
