Keep requests that were in crashes apart from others, and spare the last server

Callers of a service of three servers lost all of them within 0.2 s: the second send of a request after its first crash, and the repeat of its caller, ended the others while these served sound requests. Each instance then tried each of the dead servers by itself.

Cause: a request went to any server whatever it had done before, and the end of a server was known only to the instance that saw it. Ruled out: no second send at all. One crash proves little, and the callers' own repeats reach the next server anyway.

Reports of crashes also eject the server at all instances for two seconds.

--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -30,6 +30,7 @@
 from siskinpass.process.placement import Server, ServerTable
 from siskinpass.process.prefill import PREFILL_TOKENS_PER_S
 from siskinpass.process.rendezvous import holder, rank
+from siskinpass.request.isolation import isolated
 from siskinpass.request.ticket import Ticket
 
 # With fewer servers none are reserved for tight streams.
@@ -133,15 +134,17 @@
 
         A server that has just failed for this ticket is used only if no other
         server is free, and one that asked for a pause not at all. Tickets
-        without prompt parts are placed by load and failure rate only.
+        without prompt parts are placed by load and failure rate only. A ticket
+        under which servers have ended is kept apart from other requests.
         """
         free = [
             server
             for server in table.open_servers()
             if not ticket.excludes(server.view.name, table.now_s)
         ]
-        preferred = [one for one in free if one.view.name != ticket.avoid]
-        servers = preferred or free
+        allowed = isolated(free, ticket.crashes, listed=table.size)
+        preferred = [one for one in allowed if one.view.name != ticket.avoid]
+        servers = preferred or allowed
         if not servers:
             return None
         if not ticket.pieces:
--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -14,6 +14,12 @@
 from siskinpass.exceptions import RefusedError
 from siskinpass.process.broker import Broker, BrokerPolicy
 from siskinpass.process.server_pauses import ServerPauses
+from siskinpass.request.isolation import (
+    Isolation,
+    ServerEnded,
+    isolated,
+    isolation_after,
+)
 from siskinpass.request.ticket import (
     ClockTicked,
     Command,
@@ -39,6 +45,8 @@
 # Time after which callers should try again where only other instances have a
 # share of the servers' limits.
 RETRY_ELSEWHERE_S = 1.0
+# The same for a request under which servers have ended: others start meanwhile.
+RETRY_SUSPECT_S = 1.0
 
 PolicyLookup = Callable[[str], BrokerPolicy]
 OnPlaced = Callable[[PromptPlaced], None]
@@ -113,6 +121,7 @@
         """
         while True:
             self._refuse_if_all_closed(ticket)
+            self._refuse_if_unsafe(ticket)
             paused = self._pauses.current(self._loop.time())
             view = await self._acquire(replace(ticket, paused=paused))
             if self._may_use(view):
@@ -152,6 +161,21 @@
             retry_after_ms=int(_retry_s(wait_s) * MS_PER_S),
         )
 
+    def _refuse_if_unsafe(self, ticket: Ticket) -> None:
+        """Refuse a ticket that may crash servers if it cannot be tried now."""
+        if isolation_after(ticket.crashes) is not Isolation.required:
+            return
+        now_s = self._loop.time()
+        table = self.broker(ticket.pool).table
+        open_servers = [
+            server for server in table.servers if server.free_slots(now_s) > 0
+        ]
+        if not isolated(open_servers, ticket.crashes, listed=table.size):
+            raise RefusedError(
+                Code.request_suspected,
+                retry_after_ms=int(RETRY_SUSPECT_S * MS_PER_S),
+            )
+
     def is_serving(self, view: ServerView) -> bool:
         """Return whether a server is listed and not leaving."""
         current = self._views.get(view.name)
@@ -209,6 +233,12 @@
         for pool in self._brokers:
             self._apply(pool, SharesChanged(shares))
 
+    def mark_ended(self, name: str, incarnation: int) -> None:
+        """Give a server whose process has ended no requests for a while."""
+        view = self._views.get(name)
+        if view is not None:
+            self._apply(view.pool, ServerEnded(name, incarnation))
+
     def set_peer_loads(self, loads: Mapping[str, ServerLoad]) -> None:
         """Replace the load of the other instances, by server."""
         for pool in self._brokers:
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -240,7 +240,9 @@
         ticket = make_ticket(
             self._call,
             plan,
-            Attempt(self._ticket_id(), _now_s(), self._avoid),
+            Attempt(
+                self._ticket_id(), _now_s(), self._avoid, self._parts.crashes
+            ),
         )
         view = await self._context.assigner.acquire(ticket)
         self._server = view.name
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -102,7 +102,11 @@
             self._assigner.record_placement,
         )
         self._guard = PartGuard(
-            self._backends, self._store, self._loads.announce, self._metrics
+            self._backends,
+            self._store,
+            self._loads.announce,
+            self._assigner.mark_ended,
+            self._metrics,
         )
         self._limits = ServerLimits(
             self._members.sharing,
--- a/src/siskinpass/process/fleet/part_guard.py
+++ b/src/siskinpass/process/fleet/part_guard.py
@@ -53,6 +53,7 @@
 UNRECORDED_S = 3.0
 
 Announce = Callable[[str, Any], None]
+OnEnded = Callable[[str, int], None]
 OnBlocked = Callable[[Iterable[BlockedParts]], None]
 
 
@@ -62,6 +63,8 @@
     :param backends: connections, with which the end of a server is checked.
     :param store: where blocked parts are recorded.
     :param announce: sends a payload on a topic to the other instances.
+    :param on_ended: called with the name and the incarnation of each server
+        whose process has ended under a request, here or at another instance.
     """
 
     def __init__(
@@ -69,11 +72,13 @@
         backends: BackendPool,
         store: StoreClient,
         announce: Announce,
+        on_ended: OnEnded,
         metrics: Metrics,
     ) -> None:
         self._backends = backends
         self._records = PartRecords(store)
         self._announce = announce
+        self._on_ended = on_ended
         self._metrics = metrics
         self._log = ComponentLog('parts')
         self._crashes = PartCrashes()
@@ -161,7 +166,7 @@
 
     def receive_broken(self, payload: list[list[Any]]) -> None:
         """Take in requests that another instance saw break off."""
-        self._add_broken(
+        self._add_ended(
             BrokenRequest(call, server, tuple(parts), *numbers)
             for call, server, parts, *numbers in payload
         )
@@ -247,7 +252,7 @@
             )
             self._metrics.noticed('crash')
             self._announce(BROKEN_TOPIC, (astuple(request),))
-            self._add_broken((request,))
+            self._add_ended((request,))
             for one in self._worth_recording(request):
                 self._background.start(
                     self._records.write_suspects(one, self._crashes.suspects)
@@ -278,6 +283,14 @@
         connection.give_back()
         return False
 
+    def _add_ended(self, requests: Iterable[BrokenRequest]) -> None:
+        """Add requests whose servers have just ended."""
+        given = tuple(requests)
+        for request in given:
+            name, _, incarnation = request.server.rpartition('/')
+            self._on_ended(name, int(incarnation))
+        self._add_broken(given)
+
     def _add_broken(self, requests: Iterable[BrokenRequest]) -> None:
         news = self._crashes.merge(requests)
         self._blame({part for request in news for part in request.parts})
--- a/src/siskinpass/process/fleet/request_parts.py
+++ b/src/siskinpass/process/fleet/request_parts.py
@@ -47,6 +47,13 @@
         """Return the names of the parts and of the request itself."""
         return (*self.parts, self.identity)
 
+    @property
+    def crashes(self) -> int:
+        """Return how many servers have ended under the request."""
+        if not self._guard.is_watching:
+            return 0
+        return self._guard.crashes_of(self.identity)
+
     @property
     def is_blocked(self) -> bool:
         """Return whether the request must not be sent."""
--- a/src/siskinpass/process/grants.py
+++ b/src/siskinpass/process/grants.py
@@ -8,12 +8,13 @@
 from functools import singledispatchmethod
 
 from siskinpass.process.limits import Sample
-from siskinpass.process.placement import Server, ServerTable
+from siskinpass.process.placement import ENDED_S, Server, ServerTable
 from siskinpass.process.preemption import (
     ActiveGrant,
     ticket_load,
     unread_by_tier,
 )
+from siskinpass.request.isolation import ServerEnded
 from siskinpass.request.ticket import (
     GrantReleased,
     GrantReported,
@@ -153,6 +154,12 @@
                 Sample(event.count, server.running, now_s),
             )
 
+    @_handle_event.register
+    def _handle_ended(self, event: ServerEnded, now_s: float) -> None:
+        server = self._table.find(event.server)
+        if server is not None and server.view.incarnation == event.incarnation:
+            server.eject(now_s + ENDED_S)
+
     @_handle_event.register
     def _handle_servers(self, event: ServersListed, now_s: float) -> None:
         self._table.replace(event.servers)
--- a/src/siskinpass/process/placement.py
+++ b/src/siskinpass/process/placement.py
@@ -27,6 +27,9 @@
 SLOW_RATIO = 2.0  # multiple of the median token time
 SLOW_FRACTION = 0.34  # of the servers, that may be marked slow
 SLOW_SLOTS = 1
+# A server whose process has ended starts again after some seconds, or its entry
+# expires.
+ENDED_S = 2.0
 EJECTION_S = 0.25  # after a first failure, doubled by each further one
 MAX_COUNTED_FAILURES = 5
 MAX_PREFIXES = 4096
@@ -147,6 +150,15 @@
         if now_s >= self.ejected_until_s:
             self.failures = 0
 
+    def eject(self, until_s: float) -> None:
+        """Give the server no requests until a time at least."""
+        self.ejected_until_s = max(self.ejected_until_s, until_s)
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no instance is known to have a request on it."""
+        return not self.load.running
+
     @property
     def turn_s(self) -> float:
         """Return the time before which a limit allows no request."""
@@ -273,6 +285,8 @@
             known = self._servers.get(name)
             if known is None or known.view.incarnation != view.incarnation:
                 self.cache.remove_server(name)
+                if known is not None:
+                    known.ejected_until_s = 0.0
             if known is None:
                 self._servers[name] = Server(
                     view,
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -208,3 +208,22 @@
                 assert answer.body == WHOLE
 
         run_crashing(scenario)
+
+    def test_last_server_is_spared(self):
+        """While the others have ended under it, it is not tried again."""
+
+        async def scenario(fleet, servers):
+            for server in servers:
+                server.restart_s = CONTACT_S
+            for number in range(2):
+                await fleet.ask('/once/x', call=f'bad-{number}', body=BAD)
+            assert crashes(servers) == 2
+            for number in range(MAX_REQUESTS):
+                name = f'front-{number % INSTANCES + 1}'
+                call = f'late-{number}'
+                await fleet.ask('/once/x', name=name, call=call, body=BAD)
+                sound = await fleet.ask('/safe/x', name=name, call=f'ok{call}')
+                assert sound.status == 200
+            assert crashes(servers) == 2
+
+        run_crashing(scenario)
--- a/tests/test_part_guard.py
+++ b/tests/test_part_guard.py
@@ -98,10 +98,12 @@
     """Guards of some instances, and the announcements between them.
 
     :ivar lost: topics of which the last instance gets nothing.
+    :ivar ended: servers that have ended, as each instance learns it.
     """
 
     def __init__(self, count, store, backends=None):
         self.lost = set()
+        self.ended = []
         self.guards = [
             part_guard.PartGuard(
                 backends or Backends(),
@@ -109,6 +111,7 @@
                 lambda topic, payload, number=number: self._announce(
                     number, topic, payload
                 ),
+                lambda *server: self.ended.append(server),
                 Metrics(),
             )
             for number in range(count)
@@ -209,6 +212,16 @@
 
         assert asyncio.run(scenario())
 
+    def test_all_learn_that_a_server_has_ended(self):
+        """Each instance stops using it, not only the one that saw its end."""
+
+        async def scenario():
+            bus = Bus(3, Store())
+            await bus.guards[0].note_broken(*crash(1, BAD))
+            return bus.ended
+
+        assert asyncio.run(scenario()) == [('i-1', 1)] * 3
+
     @pytest.mark.parametrize(
         ('backends', 'is_blocked'), [(SilentBackends, False), (Backends, True)]
     )
