--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -168,6 +168,27 @@
         )
         return await exchange(self.ports[name][0], wire.encode())
 
+    async def read_events(self, path, count, *, name='front-1', call='id-1'):
+        """Read the first events of a stream, then leave; return their bytes."""
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.ports[name][0]
+        )
+        writer.write(
+            f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {call}\r\n'
+            f'Authorization: Bearer {KEY}\r\nX-Deadline-Ms: 5000\r\n'
+            'Content-Length: 0\r\n\r\n'.encode()
+        )
+        arrived = b''
+        try:
+            while arrived.count(b'\ndata: ') < count:
+                piece = await asyncio.wait_for(reader.read(65536), WAIT_S)
+                if not piece:
+                    break
+                arrived += piece
+        finally:
+            writer.close()
+        return arrived.partition(b'\r\n\r\n')[2]
+
     async def get(self, path, kind, name='front-1'):
         """Send a GET request to one of an instance's other listeners.
 
@@ -199,6 +220,18 @@
             stdout=self.logs[name].open('ab'),
         )
 
+    async def restart_all(self):
+        """Kill all instances at once, start them and wait until they serve."""
+        for process in self.processes.values():
+            process.kill()
+        for name, process in tuple(self.processes.items()):
+            await process.wait()
+            await self.start(name)
+        for name, (port, *_) in self.ports.items():
+            await wait_until(
+                lambda port=port: accepts(port), f'{name} to serve'
+            )
+
     async def is_ready(self, name='front-1'):
         """Return whether an instance reports that it is ready."""
         try:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -243,6 +243,7 @@
     :param crashing_bodies: bodies under which the process ends as soon as it
         begins to run a request.
     :param on_crash: called when it does.
+    :param version: version of its software, which its events show.
     :param is_framed: whether answers have a length or chunks; the others end
         with their connection.
     """
@@ -260,6 +261,7 @@
     crashing_parts: frozenset[str] = frozenset()
     crashing_bodies: frozenset[bytes] = frozenset()
     on_crash: Callable[[], None] | None = None
+    version: str = ''
     is_framed: bool = True
 
     async def __call__(self, request: Request) -> Response:
@@ -344,7 +346,7 @@
             if is_cut and number == after + 4:
                 yield b'id: '
                 raise HangUpError
-            yield f'id: {number}\ndata: x{number}\n\n'.encode()
+            yield f'id: {number}\ndata: {self.version}x{number}\n\n'.encode()
 
 
 def shared_parts(request: Request) -> list[str]:
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -7,7 +7,6 @@
 import pytest
 
 from bench.fleet import (
-    accepts,
     running_fleet,
     start_crashing_server,
     wait_until,
@@ -129,7 +128,7 @@
             await _is_blocked_everywhere(fleet)
             await wait_until(lambda: _records(fleet, 'blocked'), 'the record')
             before = bad_arrivals(servers)
-            await _restart_all(fleet)
+            await fleet.restart_all()
             await _is_blocked_everywhere(fleet)
             assert bad_arrivals(servers) == before
 
@@ -145,7 +144,7 @@
             await wait_until(
                 lambda: len(_records(fleet, 'broken')) == 2, 'the records'
             )
-            await _restart_all(fleet)
+            await fleet.restart_all()
             await wait_until(lambda: _is_served(fleet, 'front-3'), 'front-3')
             await ask_with(fleet, 'front-3', BAD, call='bad-3')
             await _is_blocked_everywhere(fleet)
@@ -240,15 +239,6 @@
     return answer.status == MEANINGS[Code.part_blocked].status
 
 
-async def _restart_all(fleet):
-    for name, process in tuple(fleet.processes.items()):
-        process.kill()
-        await process.wait()
-        await fleet.start(name)
-    for name, (port, *_) in fleet.ports.items():
-        await wait_until(lambda port=port: accepts(port), f'{name} to listen')
-
-
 def _records(fleet, kind):
     """Return the names of the records of one kind in the store."""
     names = fleet.store.names('siskinpass-prompt-parts')
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -7,7 +7,6 @@
 
 from bench.fleet import (
     WHOLE,
-    accepts,
     running_fleet,
     start_crashing_server,
     wait_until,
@@ -103,17 +102,6 @@
         )
 
 
-async def restart_all(fleet):
-    """Kill all instances at once and start them again."""
-    for process in fleet.processes.values():
-        process.kill()
-    for name, process in tuple(fleet.processes.items()):
-        await process.wait()
-        await fleet.start(name)
-    for name, (port, *_) in fleet.ports.items():
-        await wait_until(lambda port=port: accepts(port), f'{name} to listen')
-
-
 def records(fleet, kind):
     """Return the names of the records of one kind in the store."""
     names = fleet.store.names('siskinpass-prompt-parts')
@@ -167,7 +155,7 @@
             await _is_refused_everywhere(fleet, '/safe/x')
             await wait_until(lambda: records(fleet, 'blocked'), 'the record')
             before = bad_arrivals(servers)
-            await restart_all(fleet)
+            await fleet.restart_all()
             await _is_refused_everywhere(fleet, '/safe/x')
             assert bad_arrivals(servers) == before
 
@@ -182,7 +170,7 @@
             await wait_until(
                 lambda: len(records(fleet, 'broken')) == 2, 'the records'
             )
-            await restart_all(fleet)
+            await fleet.restart_all()
             await _is_refused_everywhere(fleet, '/once/x')
             assert crashes(servers) == REQUEST_CRASHES
 
