--- a/src/siskinpass/codes.py
+++ b/src/siskinpass/codes.py
@@ -54,6 +54,8 @@
     servers_limited = 2013
     request_blocked = 2014
     request_suspected = 2015
+    version_unknown = 2016
+    version_gone = 2017
 
     backend_unreachable = 3001
     stream_cut = 3002
@@ -160,6 +162,12 @@
     Code.request_suspected: _refused(
         'Backend servers ended under this request; none is idle to try it.',
     ),
+    Code.version_unknown: _refused(
+        'The software version that began the stream is not known.',
+    ),
+    Code.version_gone: _refused(
+        'No server has the software version that began the stream.',
+    ),
     Code.backend_unreachable: Meaning(
         502,
         Ran.not_run,
--- a/src/siskinpass/platform/headers.py
+++ b/src/siskinpass/platform/headers.py
@@ -23,6 +23,7 @@
 NOT_RUN = b'x-not-executed'
 DEADLINE = b'x-deadline-ms'
 RESUME = b'last-event-id'
+RESUMED_CALL = b'resumes'
 AUTHORIZATION = b'authorization'
 BEARER = 'bearer '
 FLAG_SET = '1'
@@ -79,6 +80,7 @@
         / MS_PER_S,
         key=_bearer(_header_text(by_name, AUTHORIZATION)),
         last_event_id=_header_text(by_name, RESUME),
+        resumed_call=_header_text(by_name, RESUMED_CALL),
         prompt=_prompt(by_name),
         headers=_without(dropped, request.headers),
     )
--- a/src/siskinpass/platform/servers.py
+++ b/src/siskinpass/platform/servers.py
@@ -30,6 +30,8 @@
         zone=read_field(entry, 'zone', str, ''),
         leaving=state != 'ready',
         slots=read_field(entry, 'slots', int, 1),
+        # Of the server's software, not of the model's weights.
+        version=read_field(entry, 'version', str, ''),
         # Start time of this incarnation in Unix milliseconds.
         incarnation=read_field(entry, 'born', int, 0),
     )
--- a/src/siskinpass/process/affinity.py
+++ b/src/siskinpass/process/affinity.py
@@ -140,7 +140,7 @@
         free = [
             server
             for server in table.open_servers()
-            if not ticket.excludes(server.view.name, table.now_s)
+            if not ticket.excludes(server.view, table.now_s)
         ]
         allowed = isolated(free, ticket.crashes, listed=table.size)
         preferred = [one for one in allowed if one.view.name != ticket.avoid]
--- a/src/siskinpass/process/codec.py
+++ b/src/siskinpass/process/codec.py
@@ -209,6 +209,7 @@
         leaving=view.leaving,
         slots=view.slots,
         incarnation=view.incarnation,
+        version=view.version,
     )
 
 
@@ -222,6 +223,7 @@
         leaving=message.leaving,
         slots=message.slots,
         incarnation=message.incarnation,
+        version=message.version,
     )
 
 
--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -45,6 +45,8 @@
 # Time after which callers should try again where only other instances have a
 # share of the servers' limits.
 RETRY_ELSEWHERE_S = 1.0
+# The same where no server has the software version that a stream needs.
+RETRY_GONE_S = 1.0
 # The same for a request under which servers have ended: others start meanwhile.
 RETRY_SUSPECT_S = 1.0
 
@@ -122,6 +124,7 @@
         while True:
             self._refuse_if_all_closed(ticket)
             self._refuse_if_unsafe(ticket)
+            self._refuse_if_gone(ticket)
             paused = self._pauses.current(self._loop.time())
             view = await self._acquire(replace(ticket, paused=paused))
             if self._may_use(view):
@@ -176,6 +179,18 @@
                 retry_after_ms=int(RETRY_SUSPECT_S * MS_PER_S),
             )
 
+    def _refuse_if_gone(self, ticket: Ticket) -> None:
+        """Refuse a ticket if no server has the software version it needs."""
+        if ticket.version is None:
+            return
+        if not any(
+            view.pool == ticket.pool and not view.leaving and ticket.fits(view)
+            for view in self._views.values()
+        ):
+            raise RefusedError(
+                Code.version_gone, retry_after_ms=int(RETRY_GONE_S * MS_PER_S)
+            )
+
     def is_serving(self, view: ServerView) -> bool:
         """Return whether a server is listed and not leaving."""
         current = self._views.get(view.name)
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable, Generator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from types import MappingProxyType
 
@@ -18,6 +18,8 @@
 from siskinpass.process.fleet.assigner import Assigner
 from siskinpass.process.fleet.part_guard import PartGuard
 from siskinpass.process.fleet.request_parts import RequestParts
+from siskinpass.process.fleet.stream_origin import StreamOrigin
+from siskinpass.process.fleet.stream_versions import StreamVersions
 from siskinpass.process.fleet.tickets import (
     Attempt,
     engine_urgency,
@@ -74,7 +76,8 @@
     :param note_request: adds a request to the retry budget of its service.
     :param on_notice: called with a server, when a request was sent to it, and
         what it says about itself in its answer.
-    :param guard: refuses prompts that crash servers.
+    :param guard: refuses requests that crash servers.
+    :param versions: knows the software versions that began streams.
     """
 
     table: Callable[[], RouteTable | None]
@@ -85,6 +88,7 @@
     note_request: Callable[[str], None]
     on_notice: Callable[[ServerView, float, ServerNotice], None]
     guard: PartGuard
+    versions: StreamVersions
     log: ComponentLog = field(default_factory=lambda: ComponentLog('forward'))
 
 
@@ -137,10 +141,11 @@
         self._in_flight = False
         self._has_begun = False
         self._avoid = ''
-        self._server = ''
+        self._server: ServerView | None = None
         self._route_name = ''
         self._ticket: Ticket | None = None
         self._parts = RequestParts(context.guard, self._call)
+        self._origin = StreamOrigin(context.versions, self._call)
         self._receiver: AnswerReceiver | None = None
 
     async def run(self) -> None:
@@ -173,6 +178,7 @@
             self._ticket = None
         if not self._has_begun:
             self._has_begun = True
+            self._origin.begin(self._server)
             self._caller.start_stream(head.status, head.headers)
 
     def write(self, events: bytes) -> None:
@@ -218,7 +224,8 @@
         plan = _Plan(route, workspace, service, deadline_s, table)
         try:
             async with asyncio.timeout_at(deadline_s):
-                await self._attempt_all(plan)
+                service = await self._origin.resolve(route, service)
+                await self._attempt_all(replace(plan, service=service))
         except TimeoutError:
             self._end_timed_out(plan)
 
@@ -241,11 +248,15 @@
             self._call,
             plan,
             Attempt(
-                self._ticket_id(), _now_s(), self._avoid, self._parts.crashes
+                self._ticket_id(),
+                _now_s(),
+                self._avoid,
+                self._origin.version,
+                self._parts.crashes,
             ),
         )
         view = await self._context.assigner.acquire(ticket)
-        self._server = view.name
+        self._server = view
         self._ticket = ticket
         self._log_grant(ticket, view)
         attempt_result = None
@@ -371,6 +382,7 @@
     def _deliver(self, plan: '_Plan', attempt_result: AttemptResult) -> None:
         if self._has_begun:
             self._caller.end_stream()
+            self._origin.end()
         else:
             self._caller.answer(
                 attempt_result.head.status,
@@ -396,7 +408,7 @@
         self._context.log.routine(
             'A request was answered.',
             call=self._call.call_id,
-            server=self._server,
+            server=self._server_name,
             first_ms=first_ms,
             pause_ms=pause_ms,
             events=events,
@@ -463,7 +475,7 @@
             code=int(code),
             reason=code.name,
             route=self._route_name,
-            server=self._server,
+            server=self._server_name,
             waiting=self._context.assigner.waiting,
             age_ms=_in_ms(age_s),
         )
@@ -478,6 +490,8 @@
             route=ticket.node,
             tier=ticket.tier,
             server=view.name,
+            software=view.version,
+            resumes=self._call.resumed_call,
             running=load.running,
             tight=load.tight,
             unread=sum(load.unread),
@@ -493,7 +507,8 @@
             call=self._call.call_id,
             route=plan.route.name,
             version=plan.table.version,
-            server=self._server,
+            server=self._server_name,
+            software=self._server.version if self._server else '',
             ending=attempt_result.ending.value,
             cause=attempt_result.cause,
             status=attempt_result.head.status if attempt_result.head else 0,
@@ -514,6 +529,10 @@
         own = self._parser.last_id if self._parser else ''
         return own or self._call.last_event_id
 
+    @property
+    def _server_name(self) -> str:
+        return self._server.name if self._server else ''
+
     def _age_s(self) -> float:
         return _now_s() - self._started_s
 
--- a/src/siskinpass/process/fleet/members.py
+++ b/src/siskinpass/process/fleet/members.py
@@ -107,6 +107,10 @@
         """Return the members that callers are sent to."""
         return self._caller_members
 
+    def caller_names(self) -> list[str]:
+        """Return the names of the members that callers are sent to."""
+        return [member.name for member in self._caller_members]
+
     @property
     def is_isolated(self) -> bool:
         """Return whether no other instance has been heard for a while."""
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -39,6 +39,12 @@
 from siskinpass.process.fleet.source import SourceParts, StateSource
 from siskinpass.process.fleet.state import StoredState
 from siskinpass.process.fleet.store_client import StoreClient
+from siskinpass.process.fleet.stream_records import StreamRecords
+from siskinpass.process.fleet.stream_versions import (
+    STREAMS_TOPIC,
+    StreamVersions,
+    VersionSources,
+)
 from siskinpass.process.logs import ComponentLog
 from siskinpass.process.metrics import Metrics
 from siskinpass.process.server_pauses import ServerPauses
@@ -118,6 +124,21 @@
         self._state = StoredState(
             self._update_servers, self._feed.publish_config
         )
+        self._versions = StreamVersions(
+            settings.name,
+            StreamRecords(self._store, settings.name),
+            VersionSources(
+                self._state.resumable_services,
+                self._members.caller_names,
+                lambda: (
+                    self._state.is_reachable or not self._members.is_isolated
+                ),
+                lambda: self._store.era,
+                self._loads.announce,
+            ),
+            self._metrics,
+            is_first_start=settings.is_first_start,
+        )
         self._reader = StoreReader(
             self._store,
             self._state,
@@ -162,6 +183,7 @@
             lambda payload: self._state.mark_leaving(ServerView(**payload)),
         )
         self._loads.subscribe(LIMIT_TOPIC, self._limits.receive)
+        self._loads.subscribe(STREAMS_TOPIC, self._versions.receive)
         self._loads.subscribe(BROKEN_TOPIC, self._guard.receive_broken)
         self._loads.subscribe(CLEARED_TOPIC, self._guard.receive_cleared)
         self._loads.subscribe(BLAMED_TOPIC, self._guard.receive_blamed)
@@ -212,6 +234,7 @@
                 self._metrics,
             ).receive,
             guard=self._guard,
+            versions=self._versions,
         )
 
     def _watch_signals(self) -> None:
@@ -242,6 +265,7 @@
         await self._members.join()
         for work in (
             self._source.run(),
+            self._versions.run(),
             self._members.refresh(),
             self._members.register(self._is_reader),
         ):
@@ -320,6 +344,7 @@
             await asyncio.sleep(TICK_S)
             self._state.expire_missing()
             self._limits.refresh(self._assigner.servers)
+            self._versions.refresh(self._assigner.servers)
             self._callers = {one for one in self._callers if one.is_open}
 
     def _policy_for(self, pool: str) -> BrokerPolicy:
@@ -332,6 +357,7 @@
         given = tuple(views)
         self._assigner.set_servers(given)
         self._limits.refresh(given)
+        self._versions.refresh(given)
         self._feed.publish_servers(given)
 
     def _load_sockets(self) -> list[tuple[str, int]]:
--- a/src/siskinpass/process/fleet/state.py
+++ b/src/siskinpass/process/fleet/state.py
@@ -69,10 +69,19 @@
         """Return the configuration version in force, 0 before the first."""
         return self._table.version if self._table else 0
 
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether the servers are known as the store lists them."""
+        return self._has_servers and self._servers.is_reachable
+
     def table(self) -> RouteTable | None:
         """Return the routing table in force, ``None`` before the first."""
         return self._table
 
+    def resumable_services(self) -> frozenset[str]:
+        """Return the services that have streams which may be resumed."""
+        return self._table.resumable_services if self._table else frozenset()
+
     def caller_limits(self) -> CallerLimits:
         """Return the limits in force for requests, else the defaults."""
         return self._table.limits if self._table else CallerLimits()
--- /dev/null
+++ b/src/siskinpass/process/fleet/stream_versions.py
@@ -0,0 +1,300 @@
+"""Let streams go on only at the software version that began them.
+
+Callers take streams up at any instance, also after all have lost power. While
+servers of several versions serve a service, or have just done so, instances
+therefore announce its streams to each other and record them in the store. As
+long as there is one version only, nothing is announced or recorded.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import astuple, dataclass
+from typing import Any
+
+from siskinpass.codes import Code
+from siskinpass.exceptions import RefusedError, StoreError
+from siskinpass.process.background import BackgroundTasks
+from siskinpass.process.facts import FactTable
+from siskinpass.process.fleet.stream_records import StreamRecords
+from siskinpass.process.logs import ComponentLog
+from siskinpass.process.metrics import Metrics
+from siskinpass.process.rendezvous import rank
+from siskinpass.process.version_history import (
+    MAX_STREAMS,
+    StreamBegun,
+    VersionHistory,
+    VersionServed,
+    stream_name,
+)
+from siskinpass.request.ticket import ServerView
+
+MS_PER_S = 1000
+STREAMS_TOPIC = 'streams'  # of announcements to the other instances
+# Streams that begin within this time are announced, and recorded, together.
+ANNOUNCE_S = 0.05
+RECORD_S = 0.2
+MAX_ANNOUNCED = 16  # streams in one datagram
+WRITE_RETRY_S = 1.0
+# Instances that record a version, and remove its record when it has ended.
+RECORDERS = 2
+# A new version is recorded a little later, when the others are known too.
+VERSION_DELAY_S = 1.0
+# A take-up of an unknown stream asks the store again after this time: another
+# instance may not have recorded it yet.
+LOOKUP_AGAIN_S = 0.3
+LOOKUPS = 2
+RETRY_AFTER_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class VersionSources:
+    """What the instance knows otherwise.
+
+    :param services: returns the services whose streams can be taken up.
+    :param names: returns the instances that serve callers.
+    :param is_connected: returns whether the instance hears of new servers, from
+        the store or from other instances.
+    :param era: returns the number of times that the store was restored.
+    :param announce: sends a payload on a topic to the other instances.
+    """
+
+    services: Callable[[], frozenset[str]]
+    names: Callable[[], Iterable[str]]
+    is_connected: Callable[[], bool]
+    era: Callable[[], int]
+    announce: Callable[[str, Any], None]
+
+
+class StreamVersions:
+    """Owner of what this instance knows about the versions of streams.
+
+    :param own: name of this instance.
+    :param is_first_start: whether no stream can have begun before.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        records: StreamRecords,
+        sources: VersionSources,
+        metrics: Metrics,
+        *,
+        is_first_start: bool,
+    ) -> None:
+        self._own = own
+        self._records = records
+        self._sources = sources
+        self._metrics = metrics
+        self._is_complete = is_first_start
+        self._history = VersionHistory()
+        # Streams of this instance that are open or have broken off.
+        self._streams: FactTable[StreamBegun] = FactTable(MAX_STREAMS)
+        self._unannounced: list[StreamBegun] = []
+        self._mixed: frozenset[str] = frozenset()
+        self._era = 0
+        self._has_unrecorded = asyncio.Event()
+        self._lookup: asyncio.Task[None] | None = None
+        self._background = BackgroundTasks()
+        self._loop = asyncio.get_running_loop()
+        self._log = ComponentLog('versions')
+
+    async def run(self) -> None:
+        """Record streams as they begin, until cancelled."""
+        if not self._is_complete:
+            await self._look_up()
+        while True:
+            await self._has_unrecorded.wait()
+            await asyncio.sleep(RECORD_S)
+            self._has_unrecorded.clear()
+            await self._record_streams()
+
+    def refresh(self, views: Iterable[ServerView]) -> None:
+        """Adapt to the servers that there are now.
+
+        Called at each change of them, and now and then.
+
+        :param views: all listed servers.
+        """
+        services = self._sources.services()
+        listed = [view for view in views if view.pool in services]
+        for fact in self._history.list_servers(listed, time.time()):
+            self._background.start(self._record_version(fact))
+        self._expire()
+        self._update_mixed(services)
+        self._check_era()
+
+    def begin(self, call_id: str, server: ServerView) -> None:
+        """Record that the first event of a stream is sent to its caller.
+
+        :param call_id: the caller's attempt that brings the first event.
+        """
+        stream = stream_name(call_id)
+        now_s = time.time()
+        fact = StreamBegun(stream, server.pool, server.version, now_s)
+        self._streams.merge((fact,), now_s)
+        self._history.streams.merge((fact,), now_s)
+        if server.pool in self._mixed:
+            self._publish((fact,))
+
+    def end(self, call_id: str) -> None:
+        """Record that a stream was sent to its end."""
+        self._streams.drop(stream_name(call_id))
+
+    async def resolve(
+        self, call_id: str, services: Iterable[str]
+    ) -> StreamBegun:
+        """Return what began a stream that a caller takes up.
+
+        :param call_id: the caller's attempt that brought the first event.
+        :param services: those that can have begun it.
+        :raises RefusedError: if it is not known.
+        """
+        stream, given = stream_name(call_id), tuple(services)
+        found = self._find(stream, given)
+        for number in range(LOOKUPS):
+            if found is not None:
+                break
+            if number:
+                await asyncio.sleep(LOOKUP_AGAIN_S)
+            await self._look_up()
+            found = self._find(stream, given)
+        self._metrics.noticed('unknown stream' if found is None else 'take-up')
+        if found is None:
+            raise RefusedError(
+                Code.version_unknown,
+                retry_after_ms=int(RETRY_AFTER_S * MS_PER_S),
+            )
+        return found
+
+    def receive(self, payload: list[list[Any]]) -> None:
+        """Add streams that another instance announces."""
+        now_s = time.time()
+        facts = [StreamBegun(*fields, now_s) for fields in payload]
+        self._history.streams.merge(facts, now_s)
+        # A version of which this instance has not heard may serve already.
+        self._history.served.merge(
+            (VersionServed(one.service, one.version, now_s) for one in facts),
+            now_s,
+        )
+
+    def _check_era(self) -> None:
+        """Record everything again after the store was restored from a copy."""
+        previous, self._era = self._era, self._sources.era()
+        if previous in {0, self._era}:
+            return
+        for fact in self._history.served.current(time.time()):
+            self._background.start(self._record_version(fact))
+        if self._mixed:
+            self._has_unrecorded.set()
+
+    def _find(
+        self, stream: str, services: tuple[str, ...]
+    ) -> StreamBegun | None:
+        return self._history.origin(
+            stream,
+            services,
+            time.time(),
+            is_complete=self._is_complete and self._sources.is_connected(),
+        )
+
+    def _update_mixed(self, services: frozenset[str]) -> None:
+        now_s = time.time()
+        mixed = frozenset(
+            service
+            for service in services
+            if self._history.is_mixed(service, now_s)
+        )
+        added, ended = mixed - self._mixed, self._mixed - mixed
+        self._mixed = mixed
+        if added or ended:
+            self._log.note(
+                'The software versions of services have changed.',
+                several=sorted(mixed),
+                versions=sorted(self._history.versions(mixed, now_s)),
+            )
+        if added:
+            self._publish([
+                one
+                for one in self._streams.current(now_s)
+                if one.service in added
+            ])
+        if ended and not mixed:
+            self._background.start(self._records.remove_streams())
+
+    def _publish(self, streams: Iterable[StreamBegun]) -> None:
+        if not self._unannounced:
+            self._loop.call_later(ANNOUNCE_S, self._announce)
+        self._unannounced.extend(streams)
+        self._has_unrecorded.set()
+
+    def _announce(self) -> None:
+        streams, self._unannounced = self._unannounced, []
+        rows = [astuple(one)[:-1] for one in streams]
+        for start in range(0, len(rows), MAX_ANNOUNCED):
+            self._sources.announce(
+                STREAMS_TOPIC, rows[start : start + MAX_ANNOUNCED]
+            )
+
+    async def _record_streams(self) -> None:
+        streams = [
+            one
+            for one in self._streams.current(time.time())
+            if one.service in self._mixed
+        ]
+        try:
+            await self._records.write_streams(streams)
+        except StoreError as error:
+            self._log.warn(
+                'Streams are not recorded yet.',
+                streams=len(streams),
+                cause=str(error),
+            )
+            self._has_unrecorded.set()
+            await asyncio.sleep(WRITE_RETRY_S)
+
+    async def _record_version(self, fact: VersionServed) -> None:
+        await asyncio.sleep(VERSION_DELAY_S)
+        if self._is_recorder(fact):
+            await self._records.write_version(fact)
+
+    def _expire(self) -> None:
+        now_s = time.time()
+        self._streams.expire(now_s)
+        self._history.streams.expire(now_s)
+        for fact in self._history.served.expire(now_s):
+            if self._is_recorder(fact):
+                self._background.start(self._records.remove_version(fact))
+
+    def _is_recorder(self, fact: VersionServed) -> bool:
+        names = {*self._sources.names(), self._own}
+        key = f'{fact.service}/{fact.version}'
+        return self._own in rank(key, names)[:RECORDERS]
+
+    async def _look_up(self) -> None:
+        """Read all records, together with other requests that wait for them."""
+        if self._lookup is None:
+            self._lookup = asyncio.ensure_future(self._load())
+            self._lookup.add_done_callback(self._end_lookup)
+        await asyncio.wait((self._lookup,))
+
+    def _end_lookup(self, lookup: asyncio.Task[None]) -> None:
+        self._lookup = None
+
+    async def _load(self) -> None:
+        try:
+            streams, versions = await self._records.load()
+        except StoreError as error:
+            self._log.warn(
+                'The records of streams cannot be read.', cause=str(error)
+            )
+            return
+        now_s = time.time()
+        self._history.streams.merge(streams, now_s)
+        self._history.served.merge(versions, now_s)
+        self._is_complete = True
+        self._log.note(
+            'Read the records of streams.',
+            streams=len(streams),
+            versions=[astuple(one)[:-1] for one in versions],
+        )
--- a/src/siskinpass/process/fleet/tickets.py
+++ b/src/siskinpass/process/fleet/tickets.py
@@ -41,6 +41,8 @@
     :param ticket_id: unique in the process.
     :param now_s: start of the attempt, on the event loop's clock.
     :param avoid: backend server of the previous attempt, which failed.
+    :param version: software version that the server must have, ``None`` for
+        any.
     :param crashes: servers that have ended under the request, one after the
         other.
     """
@@ -48,6 +50,7 @@
     ticket_id: str
     now_s: float
     avoid: str = ''
+    version: str | None = None
     crashes: int = 0
 
 
@@ -73,6 +76,7 @@
         pieces=hash_parts(prompt),
         pausable=False,
         avoid=attempt.avoid,
+        version=attempt.version,
         crashes=attempt.crashes,
         tokens_in=prompt.tokens_in,
         is_tight=plan.table.is_tight(route),
--- a/src/siskinpass/process/known_servers.py
+++ b/src/siskinpass/process/known_servers.py
@@ -54,6 +54,11 @@
         """
         return tuple(self._views[name] for name in sorted(self._views))
 
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether the registry answered the last time."""
+        return self._outage_start_s is None
+
     def mark_unreachable(self, now_s: float) -> None:
         """Record that the registry does not answer.
 
--- a/src/siskinpass/process/placement.py
+++ b/src/siskinpass/process/placement.py
@@ -362,7 +362,7 @@
         holder = self._prefixes.get(ticket.prefix) if ticket.prefix else None
         for server in self._servers.values():
             if server.free_slots(now_s) <= 0 or ticket.excludes(
-                server.view.name, now_s
+                server.view, now_s
             ):
                 continue
             if self._at_random:
--- a/src/siskinpass/request/inbound.py
+++ b/src/siskinpass/request/inbound.py
@@ -105,6 +105,8 @@
     :param key: API key, empty where there is none.
     :param last_event_id: id of the last event that the caller has, empty for
         none.
+    :param resumed_call: id of the caller's attempt that brought the first event
+        of the stream that this one takes up, empty for none.
     :param prompt: work for a model engine, empty where there is none.
     :param headers: headers for the backend server, without hop-by-hop headers
         and those that only the router sets.
@@ -116,6 +118,7 @@
     caller_timeout_s: float = 0.0
     key: str = ''
     last_event_id: str = ''
+    resumed_call: str = ''
     prompt: Prompt = field(default_factory=Prompt)
     headers: tuple[Header, ...] = ()
 
--- a/src/siskinpass/request/ticket.py
+++ b/src/siskinpass/request/ticket.py
@@ -53,6 +53,7 @@
         the other.
     :param paused: backend servers that asked this instance for a pause, each
         with its end on the clock; they are never chosen before it.
+    :param version: software version that a server must have, ``None`` for any.
     :param token_s: target for the mean time between tokens, 0 for none.
     :param pieces: consecutive parts of the prompt; other prompts can share a
         part only together with all the parts before it. The last one belongs
@@ -77,6 +78,7 @@
     avoid: str = ''
     crashes: int = 0
     paused: tuple[tuple[str, float], ...] = ()
+    version: str | None = None
     token_s: float = 0.0
     pieces: tuple[PromptPiece, ...] = ()
     tokens_in: int = 0
@@ -92,10 +94,15 @@
         """Return the time at which the request is refused if still queued."""
         return self.opened_s + self.max_wait_s
 
-    def excludes(self, server: str, now_s: float) -> bool:
+    def fits(self, server: 'ServerView') -> bool:
+        """Return whether the software of a server may serve the request."""
+        return self.version is None or server.version == self.version
+
+    def excludes(self, server: 'ServerView', now_s: float) -> bool:
         """Return whether a server must not get the request now."""
-        return any(
-            name == server and now_s < until_s for name, until_s in self.paused
+        return not self.fits(server) or any(
+            name == server.name and now_s < until_s
+            for name, until_s in self.paused
         )
 
 
@@ -109,6 +116,7 @@
     :param leaving: whether it is draining and must get no new requests.
     :param slots: requests that it runs concurrently, 0 where unknown.
     :param incarnation: start of its process in Unix ms, 0 where unknown.
+    :param version: version of its software, empty where unknown.
     """
 
     name: str
@@ -118,6 +126,7 @@
     leaving: bool = False
     slots: int = 0
     incarnation: int = 0
+    version: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/siskinpass/version/routes.py
+++ b/src/siskinpass/version/routes.py
@@ -82,6 +82,11 @@
         """Return whether a request may run more than once."""
         return self.repeat is RepeatPolicy.idempotent or self.is_resumable
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Return the services that may serve the route."""
+        return tuple(share.service for share in self.shares if share.weight)
+
     def pick_service(self, draw: float) -> str:
         """Return a service chosen at random by the weights of the shares.
 
@@ -198,6 +203,16 @@
         """
         return route.pause_s > 0 and route.pause_s == self._tight_pause_s
 
+    @cached_property
+    def resumable_services(self) -> frozenset[str]:
+        """Return the services that have streams which may be resumed."""
+        return frozenset(
+            service
+            for route in self.routes
+            if route.is_resumable
+            for service in route.services
+        )
+
     @cached_property
     def _tight_pause_s(self) -> float:
         pauses = {route.pause_s for route in self.routes if route.pause_s > 0}
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -6,6 +6,11 @@
 import pytest
 
 from bench.fleet import free_ports, server_entry, wait_until
+from siskinpass.codes import MEANINGS, Code
+from siskinpass.process.fleet.stream_versions import (
+    RECORD_S,
+    VERSION_DELAY_S,
+)
 from standins.fleet import BackendServer, Faults
 from standins.http_server import serve
 from tests.test_fleet import run_scenario
@@ -13,6 +18,7 @@
 STREAMS = 12
 GAP_S = 0.05
 EVENTS = 12
+UNKNOWN = b'id: 3\ndata: ax3\n\n'
 BEGUN = 3  # events after which a caller loses its connection
 
 
@@ -93,11 +99,9 @@
 class TestOrder:
     """Test that streams go on only at the version that began them."""
 
-    @pytest.mark.parametrize(('others', 'is_whole'), [(1, True), (0, False)])
-    def test_stream_that_breaks_off_goes_on_at_its_version(
-        self, others, is_whole
-    ):
-        """Without another server of its version it ends as broken off."""
+    @pytest.mark.parametrize('others', [1, 0])
+    def test_stream_that_breaks_off_goes_on_at_its_version(self, others):
+        """It goes on at another server of the version, or at its own."""
 
         async def scenario(fleet):
             await add_versions(fleet, {'a': 1 + others, 'b': 1 + others})
@@ -107,7 +111,7 @@
                     server.faults = faults
                 answer = await fleet.ask('/stream/x', call=f'c-{number}')
                 assert len(versions_in(answer.body)) == 1
-                assert answer.is_whole is is_whole
+                assert answer.is_whole
 
         run_scenario(scenario, servers=0)
 
@@ -134,3 +138,118 @@
             assert await take_up_all(fleet, begun) == (0, STREAMS)
 
         run_scenario(scenario, servers=0, instances=4, small_fleet=small_fleet)
+
+    def test_take_up_of_a_version_that_has_left(self):
+        """It is refused as not run, with a time to come back."""
+
+        async def scenario(fleet):
+            await add_versions(fleet, {'a': 1, 'b': 1})
+            begun = await begin_streams(fleet)
+            await fleet.store.remove('servers', 'a-0')
+            await asyncio.sleep(0.3)
+            before = len(fleet.runs)
+            for call, received in begun.items():
+                answer = await take_up(fleet, 'front-1', call, received)
+                if versions_in(received) == {b'b'}:
+                    assert versions_in(received + answer.body) == {b'b'}
+                else:
+                    assert answer.status == MEANINGS[Code.version_gone].status
+                    assert float(answer.header('Retry-After')) >= 1
+            gone = [versions_in(one) == {b'a'} for one in begun.values()]
+            assert 0 < sum(gone) < STREAMS
+            assert len(fleet.runs) - before == STREAMS - sum(gone)
+
+        run_scenario(scenario, servers=0)
+
+    def test_take_up_of_an_unknown_stream(self):
+        """Unknown is not any version: it is refused as not run."""
+
+        async def scenario(fleet):
+            await add_versions(fleet, {'a': 1, 'b': 1})
+            before = len(fleet.runs)
+            answer = await take_up(fleet, 'front-1', 'other', UNKNOWN)
+            assert answer.status == MEANINGS[Code.version_unknown].status
+            assert answer.header('Retry-After')
+            assert len(fleet.runs) == before
+
+        run_scenario(scenario, servers=0)
+
+    @pytest.mark.parametrize('is_restarted', [False, True])
+    def test_one_version_needs_no_records(self, is_restarted):
+        """Streams of the only version are taken up without being known."""
+
+        async def scenario(fleet):
+            await add_versions(fleet, {'a': 2})
+            begun = await begin_streams(fleet)
+            if is_restarted:
+                await asyncio.sleep(VERSION_DELAY_S + 0.5)
+                await fleet.restart_all()
+            assert await take_up_all(fleet, begun) == (0, STREAMS)
+            names = fleet.store.names('siskinpass-streams')
+            assert not any(name.startswith('streams-') for name in names)
+
+        run_scenario(scenario, servers=0, instances=2)
+
+    def test_old_version_leaves_while_all_instances_are_down(self):
+        """Its streams are not taken up at the version that is left."""
+
+        async def scenario(fleet):
+            await add_versions(fleet, {'a': 1})
+            begun = await begin_streams(fleet)
+            await asyncio.sleep(VERSION_DELAY_S + 0.5)
+            for process in fleet.processes.values():
+                process.kill()
+            await add_server(fleet, 'b-0', 'b')
+            await fleet.store.remove('servers', 'a-0')
+            await fleet.restart_all()
+            assert await take_up_all(fleet, begun) == (0, 0)
+
+        run_scenario(scenario, servers=0, instances=2)
+
+    def test_streams_of_the_only_version_are_known_once_another_serves(self):
+        """Those that are open then, or have just broken off, are recorded."""
+
+        async def scenario(fleet):
+            await add_versions(fleet, {'a': 2})
+            begun = await begin_streams(fleet)
+            await add_server(fleet, 'b-0', 'b')
+            await wait_until(lambda: _recorded(fleet), 'the records')
+            await fleet.restart_all()
+            assert await take_up_all(fleet, begun) == (0, STREAMS)
+
+        run_scenario(scenario, servers=0, instances=2)
+
+    def test_take_up_while_the_store_is_away(self):
+        """Instances know each other's streams without the store."""
+
+        async def scenario(fleet):
+            await add_versions(fleet, {'a': 2, 'b': 2})
+            await fleet.store.take_down()
+            begun = await begin_streams(fleet)
+            assert await take_up_all(fleet, begun) == (0, STREAMS)
+
+        run_scenario(scenario, servers=0, instances=3)
+
+    def test_store_back_from_a_copy_has_the_streams_again(self):
+        """What the copy lacks is recorded anew."""
+
+        async def scenario(fleet):
+            await add_versions(fleet, {'a': 2, 'b': 2})
+            copy = fleet.store.copy()
+            begun = await begin_streams(fleet)
+            await wait_until(lambda: _recorded(fleet), 'the records')
+            await asyncio.sleep(2 * RECORD_S)
+            await fleet.store.restore(copy)
+            assert not _recorded(fleet)
+            await wait_until(lambda: _recorded(fleet), 'the records again')
+            await fleet.restart_all()
+            assert await take_up_all(fleet, begun) == (0, STREAMS)
+
+        run_scenario(scenario, servers=0, instances=2)
+
+
+def _recorded(fleet):
+    """Return whether each instance has recorded streams."""
+    names = fleet.store.names('siskinpass-streams')
+    found = [name for name in names if name.startswith('streams-')]
+    return len(found) >= len(fleet.processes)
