Do not blame sound parts for crashes that blocked ones explain

Cause: each name was judged as if it alone could have crashed its servers. Change: a crash in which blocked parts or a blocked request were sent no longer counts against other names; the blame is looked at again before its block. tests/test_part_crashes.py fails without it (blamed subject).

--- a/src/siskinpass/process/fleet/part_guard.py
+++ b/src/siskinpass/process/fleet/part_guard.py
@@ -224,6 +224,7 @@
     def _merge(self, blocked: Iterable[BlockedParts]) -> None:
         news = self._blocks.merge(blocked, time.time())
         for one in news:
+            self._crashes.explain(one.parts)
             self._log.note(
                 'Prompt parts are blocked.',
                 parts=sorted(one.parts),
--- a/src/siskinpass/process/part_crashes.py
+++ b/src/siskinpass/process/part_crashes.py
@@ -10,7 +10,8 @@
   that were open at the same time one counts, since servers may end together for
   another reason;
 - an answer that goes on clears all parts of its prompt of the crashes before;
-- as long as several parts may be to blame, only their combination is blamed.
+- as long as several parts may be to blame, only their combination is blamed;
+- a crash that blocked parts explain does not speak against others.
 
 Instances report to each other what they saw. Reports may be lost, repeated and
 reordered; the outcome depends only on which of them have arrived.
@@ -68,6 +69,8 @@
             OrderedDict()
         )
         self._cleared: OrderedDict[ClearedPart, None] = OrderedDict()
+        self._by_server: dict[str, list[BrokenRequest]] = {}
+        self._explanations: set[frozenset[str]] = set()
         # By part and server, without what was cleared.
         self._suspected: dict[str, dict[str, list[BrokenRequest]]] = {}
 
@@ -85,6 +88,7 @@
             key = (request.server, request.call)
             if key not in self._requests:
                 self._requests[key] = request
+                self._by_server.setdefault(request.server, []).append(request)
                 self._suspect(request)
                 news.append(request)
         while len(self._requests) > MAX_REQUESTS:
@@ -108,6 +112,10 @@
             self._cleared.popitem(last=False)
         return news
 
+    def explain(self, names: frozenset[str]) -> None:
+        """Record that requests with all of some names crash servers."""
+        self._explanations.add(names)
+
     def clear(self, parts: Iterable[str]) -> tuple[ClearedPart, ...]:
         """Clear parts of all crashes known so far, as an answer went on.
 
@@ -126,8 +134,7 @@
             all crashes; empty if it is not to blame.
         """
         weights = self._weights(part)
-        crashes = self._suspected.get(part, {}).values()
-        suspects = [self._suspects_of(crash) for crash in crashes]
+        suspects = [self._suspects_of(crash) for crash in self._crashes(part)]
         common = frozenset.intersection(*suspects) if suspects else frozenset()
         is_one_request = any(map(is_identity, common))
         if sum(weights) >= BLAME_WEIGHT or (
@@ -174,12 +181,26 @@
         """Return the processes whose ends speak against a part."""
         return sorted(self._suspected.get(part, ()))
 
+    def _crashes(self, name: str) -> list[list[BrokenRequest]]:
+        """Return the crashes that speak against a name."""
+        others = [one for one in self._explanations if name not in one]
+        return [
+            crash
+            for server, crash in self._suspected.get(name, {}).items()
+            if not self._is_explained(server, others)
+        ]
+
+    def _is_explained(
+        self, server: str, explanations: Iterable[frozenset[str]]
+    ) -> bool:
+        names = [frozenset(one.parts) for one in self._by_server[server]]
+        return any(one <= held for one in explanations for held in names)
+
     def _weights(self, name: str) -> list[int]:
         """Return the weight of each crash, without those at the same time."""
         weights = []
         ended_ms = 0
-        crashes = self._suspected.get(name, {}).values()
-        for crash in sorted(crashes, key=_end):
+        for crash in sorted(self._crashes(name), key=_end):
             later = [one for one in crash if one.sent_ms >= ended_ms]
             if later:
                 weights.append(max(one.weight for one in later))
@@ -198,6 +219,10 @@
             by_server.setdefault(request.server, []).append(request)
 
     def _forget(self, request: BrokenRequest) -> None:
+        left = self._by_server[request.server]
+        left.remove(request)
+        if not left:
+            self._by_server.pop(request.server)
         for part in request.parts:
             crash = self._suspected.get(part, {}).get(request.server, [])
             if request in crash:
--- a/tests/test_part_crashes.py
+++ b/tests/test_part_crashes.py
@@ -89,6 +89,21 @@
         assert known.blamed(REQUEST) == {REQUEST}
         assert not known.blamed(f'{REQUEST}-0')
 
+    @pytest.mark.parametrize('is_explained', [False, True])
+    def test_crashes_that_others_explain(self, is_explained):
+        """Sound parts beside two causes of crashes are not blamed for both."""
+        known = PartCrashes()
+        known.merge([
+            broken(1, BAD, 'subject'),
+            broken(2, BAD, 'subject'),
+            broken(3, 'subject'),
+            broken(3, REQUEST),
+        ])
+        if is_explained:
+            known.explain(frozenset((BAD,)))
+        assert (known.blamed('subject') == {'subject'}) is not is_explained
+        assert known.count(BAD) == 2
+
     def test_answered_request_is_not_blamed(self):
         """An answer shows that none of the crashes before was its fault."""
         known = PartCrashes()
