--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -9,7 +9,7 @@
 from siskinpass.codes import MEANINGS, Code
 from siskinpass.platform.headers import decode_answer
 from siskinpass.process.server_pauses import MAX_PAUSE_S, ServerPauses
-from siskinpass.request.ticket import Ticket
+from siskinpass.request.ticket import ServerView, Ticket
 from tests.test_fleet import WHOLE, run_scenario
 
 ASKS = 8  # enough to reach both servers several times
@@ -129,9 +129,10 @@
     def test_ticket_excludes_until_the_end(self):
         """A waiting ticket may use the server once its pause is over."""
         ticket = Ticket('t', '', 'p', 'n', 0, 0.0, 1.0, 5.0, paused=(('a', 3),))
-        assert ticket.excludes('a', 2.9)
-        assert not ticket.excludes('a', 3.0)
-        assert not ticket.excludes('b', 0.0)
+        first, other = (ServerView(name, '1.1.1.1:1', 'p') for name in 'ab')
+        assert ticket.excludes(first, 2.9)
+        assert not ticket.excludes(first, 3.0)
+        assert not ticket.excludes(other, 0.0)
 
 
 class TestLeaving:
