Let the soak release software versions and take streams up again

Callers of the soak now lose streams and take them up at any instance, up to three times, while versions are released one by one, by halves, all at once and backwards, in series that overlap. Checked: each stream holds all events in order and of one version; where two servers of its version serve, at least half as many take-ups go on as streams begin.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -168,15 +168,20 @@
         )
         return await exchange(self.ports[name][0], wire.encode())
 
-    async def read_events(self, path, count, *, name='front-1', call='id-1'):
-        """Read the first events of a stream, then leave; return their bytes."""
+    async def read_events(
+        self, path, count, *, name='front-1', call='id-1', more=''
+    ):
+        """Read the first events of a stream, then leave.
+
+        :returns: the status, 0 without one, and the bytes of the events.
+        """
         reader, writer = await asyncio.open_connection(
             '127.0.0.1', self.ports[name][0]
         )
         writer.write(
             f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {call}\r\n'
             f'Authorization: Bearer {KEY}\r\nX-Deadline-Ms: 5000\r\n'
-            'Content-Length: 0\r\n\r\n'.encode()
+            f'{more}Connection: close\r\nContent-Length: 0\r\n\r\n'.encode()
         )
         arrived = b''
         try:
@@ -187,7 +192,8 @@
                 arrived += piece
         finally:
             writer.close()
-        return arrived.partition(b'\r\n\r\n')[2]
+        answer = parse(arrived)
+        return answer.status, answer.body
 
     async def get(self, path, kind, name='front-1'):
         """Send a GET request to one of an instance's other listeners.
@@ -351,16 +357,17 @@
 
 
 async def start_crashing_server(
-    fleet: Fleet, number: int, causes: CrashCauses
+    fleet: Fleet, number: int, causes: CrashCauses, version: str = ''
 ) -> RestartingServer:
     """Start a backend server that crashes on some requests.
 
     :param number: distinguishes the servers of a fleet.
+    :param version: version of its software.
     """
     server = RestartingServer(
         f'i-{number}',
         fleet.store,
-        server_entry(free_ports(1)[0]),
+        server_entry(free_ports(1)[0], version=version),
         causes,
     )
     await server.start()
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -11,6 +11,7 @@
 import itertools
 import math
 import random
+import re
 import signal
 import socket
 import sys
@@ -33,6 +34,7 @@
     ONCE,
     SOUND,
     STATUS_OK,
+    STREAM,
     Arrival,
     Disturbance,
     NamedLimit,
@@ -41,6 +43,7 @@
     find_violations,
 )
 from bench.soak_load import CAUSES, CRASHING_KINDS, SoakLoad
+from bench.soak_streams import StreamCaller
 from siskinpass.process.fleet.loads import ANNOUNCE_AGAIN_S
 from siskinpass.process.fleet.node import LOADS_PORT_STEP
 from standins.fleet import BackendServer, RestartingServer
@@ -48,12 +51,14 @@
 SERVERS = 6
 QUIET_S = 2.5  # at the start, without requests that crash servers
 FAULT_INTERVAL_S = 1.5
+RELEASE_INTERVAL_S = (0.5, 3.0)
 MAX_DOWN_S = 1.5
 LIMITS_PER_S = (0.5, 1.0, 1.2, 4.0)
 STORM_VERSIONS = 6
 BURST_REQUESTS = 60
 FLOOD_DATAGRAMS = 4000  # more than a socket's buffer holds
 JUNK = bytes(1024)
+VERSION = re.compile(rb'data: [\w.]*x')  # in the events of a server
 MAX_SHOWN = 10  # violations
 ENTRY_EXPIRY_S = 3.6  # of servers that have ended: three heartbeats
 PEER_PORT = 3  # of an instance's ports
@@ -103,13 +108,18 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._start_s = time.monotonic()
         self._busy: set[str] = set()
+        self._server_numbers = itertools.count(len(servers))
+        self._software = itertools.count(1)
+        self._version = 0
+        self._release_rng = random.Random(plan.seed + 2)
+        self._retired: list[RestartingServer] = []
         self._limits: dict[str, NamedLimit] = {}
         self.seen = Observations()
         self.counts: Counter[str] = Counter()
 
     async def run(self) -> None:
         """Send load and inject faults, then wait for all answers."""
-        faults = asyncio.ensure_future(self._inject_faults())
+        faults = asyncio.gather(self._inject_faults(), self._release())
         while self._age_s() < self._plan.seconds:
             await asyncio.sleep(self._load.pause_s())
             kind = self._load.next_kind()
@@ -120,6 +130,11 @@
             await asyncio.wait(self._tasks)
         self._collect()
 
+    def close(self) -> None:
+        """End all servers."""
+        for server in (*self._servers, *self._retired):
+            server.close()
+
     def _age_s(self) -> float:
         return time.monotonic() - self._start_s
 
@@ -129,6 +144,9 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _ask(self, kind: str) -> None:
+        if kind == STREAM:
+            await self._stream()
+            return
         name = self._load.choose(sorted(self._fleet.processes))
         number = next(self._numbers)
         call = f'{kind}/{name}/{number}'
@@ -149,6 +167,21 @@
         self.counts[f'{kind} {answer.status}'] += 1
         self.seen.sent.append(_received(sent, answer))
 
+    async def _stream(self) -> None:
+        caller = StreamCaller(self._fleet, self._load.fork(), self._serving)
+        found = await caller.run(next(self._numbers))
+        self.seen.streams.append(found)
+        self.counts['streams'] += 1
+        for take_up in found.take_ups:
+            self.counts[f'take-up went on: {take_up.went_on}'] += 1
+
+    def _serving(self, version: str) -> int:
+        """Return how many servers of a version serve."""
+        return sum(
+            server.is_serving and server.version == version
+            for server in self._servers
+        )
+
     async def _inject_faults(self) -> None:
         pending: list[Callable[[], Awaitable[None]]] = []
         while self._age_s() < self._plan.seconds - MAX_DOWN_S:
@@ -285,10 +318,10 @@
         now_s = time.monotonic()
         self.seen.disturbances.append(Disturbance('', now_s, now_s))
         await self._fleet.store.restore(copy)
-        for server in self._servers:
+        for server in (*self._servers, *self._retired):
             await server.register()
         await asyncio.sleep(ENTRY_EXPIRY_S)
-        for server in self._servers:
+        for server in (*self._servers, *self._retired):
             await server.expire()
 
     async def _storm(self) -> None:
@@ -304,10 +337,56 @@
     async def _end_server(self) -> None:
         self._rng.choice(self._servers).crash()
 
+    async def _release(self) -> None:
+        """Release software versions in series that overlap."""
+        ways = (
+            self._release_one,
+            self._release_half,
+            self._release_rest,
+            self._roll_back,
+        )
+        while self._age_s() < self._plan.seconds - MAX_DOWN_S:
+            await asyncio.sleep(self._release_rng.uniform(*RELEASE_INTERVAL_S))
+            way = self._release_rng.choice(ways)
+            self.counts[way.__name__.strip('_')] += 1
+            self._start(way())
+
+    async def _release_one(self) -> None:
+        """Replace one server by one of the next software version."""
+        self._version = next(self._software)
+        await self._replace_servers(1)
+
+    async def _release_half(self) -> None:
+        """Replace half of the servers, one after the other."""
+        self._version = next(self._software)
+        for _ in range(len(self._servers) // 2):
+            await self._replace_servers(1)
+
+    async def _release_rest(self) -> None:
+        """Replace all servers of other versions at once."""
+        await self._replace_servers(len(self._servers))
+
+    async def _roll_back(self) -> None:
+        """Replace servers by ones of the version before."""
+        self._version = max(0, self._version - 1)
+        await self._replace_servers(2)
+
+    async def _replace_servers(self, count: int) -> None:
+        version = f'v{self._version}'
+        old = [one for one in self._servers if one.version != version][:count]
+        self._servers = [one for one in self._servers if one not in old]
+        self._retired.extend(old)
+        for _ in old:
+            new = await start_crashing_server(
+                self._fleet, next(self._server_numbers), CAUSES, version
+            )
+            self._servers.append(new)
+        await asyncio.gather(*(server.leave() for server in old))
+
     def _collect(self) -> None:
         for limit in self._limits.values():
             self._end_limit(limit)
-        for server in self._servers:
+        for server in (*self._servers, *self._retired):
             self.seen.crashes_s.extend(server.crash_times_s)
             self.seen.ran.update(
                 request.headers.get('x-attempt-id', '')
@@ -327,7 +406,7 @@
         instances=plan.instances, servers=0, small_fleet=plan.small_fleet
     ) as fleet:
         servers = [
-            await start_crashing_server(fleet, number, CAUSES)
+            await start_crashing_server(fleet, number, CAUSES, 'v0')
             for number in range(SERVERS)
         ]
         await asyncio.sleep(FAULT_INTERVAL_S)
@@ -335,8 +414,7 @@
         try:
             await run.run()
         finally:
-            for server in servers:
-                server.close()
+            run.close()
     run.counts['crashes'] = len(run.seen.crashes_s)
     return SoakResult(find_violations(run.seen), run.counts)
 
@@ -355,7 +433,8 @@
     if sent.kind == ONCE:
         is_right = is_right and b'"body":"body"' in answer.body
     else:
-        is_right = is_right and answer.body == WHOLE
+        plain = VERSION.sub(b'data: x', answer.body)
+        is_right = is_right and plain == WHOLE
     # A stream that broke off is no right answer, but no wrong one either.
     body = answer.body if answer.is_whole else b''
     return Sent(
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -1,7 +1,7 @@
 """Check what callers and backend servers saw in a soak run. Pure logic."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 CONTACT_S = 3.0  # the contact time of the operator's bounds
@@ -13,11 +13,14 @@
 LIMIT_SLACK = 5
 TOLD_S = 0.5  # from an answer that states a limit until it binds its instance
 ANSWER_S = 0.5  # longest that a server without trouble takes for an answer
+MIN_TAKE_UPS = 12  # below which a share says nothing
+MIN_SERVERS = 2  # of its version while a stream is taken up
 MIN_SOUND = 20  # requests below which a share says nothing
 BAD = 'bad'
 AGAIN = 'again'
 SOUND = 'sound'
 ONCE = 'once'
+STREAM = 'take-up'
 STATUS_OK = 200
 STATUS_REFUSED = 503
 # In the refusals of prompts and requests that crash servers.
@@ -81,6 +84,33 @@
     end_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class TakeUp:
+    """One attempt at a stream.
+
+    :param went_on: whether it was answered as success.
+    :param servers: servers of the stream's software version that served.
+    """
+
+    instance: str
+    at_s: float
+    went_on: bool
+    servers: int
+
+
+@dataclass(frozen=True, slots=True)
+class StreamSeen:
+    """One stream as its caller saw it, over all attempts.
+
+    :param events: ids and software versions, in order of arrival.
+    """
+
+    call: str
+    first: TakeUp
+    take_ups: tuple[TakeUp, ...]
+    events: Sequence[tuple[int, bytes]]
+
+
 @dataclass(slots=True)
 class Observations:
     """All that was seen in one run.
@@ -95,6 +125,7 @@
     crashes_s: list[float] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
+    streams: list[StreamSeen] = field(default_factory=list)
 
     def is_calm(self, instance: str, at_s: float) -> bool:
         """Return whether an instance and the store were without trouble.
@@ -124,6 +155,8 @@
         *_check_limits(seen),
         *_check_sound(seen),
         *_check_answers(seen),
+        *_check_streams(seen),
+        *_check_take_ups(seen),
     ]
 
 
@@ -238,3 +271,38 @@
             yield f'{one.call} ran but was reported as not run'
         if one.status == STATUS_OK and one.body and not one.is_right:
             yield f'{one.call} got an answer that is not its own or not whole'
+
+
+def _check_streams(seen: Observations) -> Iterable[str]:
+    """Check that streams hold all events in order, of one version each."""
+    for one in seen.streams:
+        versions = {version for _, version in one.events}
+        if len(versions) > 1:
+            yield f'{one.call} holds events of versions {sorted(versions)}'
+        ids = [number for number, _ in one.events]
+        if ids != list(range(1, len(ids) + 1)):
+            yield f'{one.call} holds events {ids}'
+
+
+def _check_take_ups(seen: Observations) -> Iterable[str]:
+    """Check that streams that can go on do so."""
+    begun = [
+        one.first.went_on
+        for one in seen.streams
+        if seen.is_calm(one.first.instance, one.first.at_s)
+    ]
+    taken_up = [
+        take_up.went_on
+        for one in seen.streams
+        for take_up in one.take_ups
+        if take_up.servers >= MIN_SERVERS
+        and seen.is_calm(take_up.instance, take_up.at_s)
+    ]
+    if not begun or len(taken_up) < MIN_TAKE_UPS:
+        return
+    share, expected = sum(taken_up) / len(taken_up), sum(begun) / len(begun)
+    if share < expected / 2:
+        yield (
+            f'{share:.0%} of {len(taken_up)} take-ups went on; '
+            f'{expected:.0%} of the new streams began'
+        )
--- a/bench/soak_load.py
+++ b/bench/soak_load.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass
 
-from bench.soak_checks import AGAIN, BAD, ONCE, SOUND
+from bench.soak_checks import AGAIN, BAD, ONCE, SOUND, STREAM
 from standins.fleet import CrashCauses
 
 BAD_PART = 'bad0'
@@ -13,7 +13,7 @@
 )
 SUBJECTS = 8
 # Requests a second by kind.
-RATES = ((SOUND, 24.0), (ONCE, 6.0), (BAD, 4.0), (AGAIN, 2.0))
+RATES = ((SOUND, 24.0), (ONCE, 6.0), (STREAM, 8.0), (BAD, 4.0), (AGAIN, 2.0))
 CRASHING_KINDS = frozenset((BAD, AGAIN))
 # Kinds of route by which the request that comes again is sent, one a run.
 AGAIN_PATHS = ('/safe/again', '/once/again', '/stream/again')
@@ -56,6 +56,10 @@
         """Return the instance that gets the next request."""
         return self._rng.choice(names)
 
+    def fork(self) -> random.Random:
+        """Return a generator for the decisions of one caller."""
+        return random.Random(self._rng.random())
+
     def make(self, kind: str, number: int) -> SoakRequest:
         """Return a request of some kind.
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -26,6 +26,7 @@
 NOISE_BYTES = 65_536  # of each piece of an endless body
 TRICKLE_S = 0.1
 MAX_TRICKLED_BYTES = 600
+DRAIN_S = 2.5  # from the announcement of a server's end to the end
 RESTART_S = 0.5  # from the end of a server's process to its next start
 
 
@@ -409,6 +410,16 @@
         """Return the number of processes that ended."""
         return len(self.crash_times_s)
 
+    @property
+    def version(self) -> str:
+        """Return the version of its software."""
+        return self._entry.get('version', '')
+
+    @property
+    def is_serving(self) -> bool:
+        """Return whether it runs and does not leave."""
+        return self._is_running and self._entry['state'] == 'ready'
+
     @property
     def process(self) -> BackendServer:
         """Return the current process, or the last one."""
@@ -421,6 +432,7 @@
             crashing_parts=self._causes.parts,
             crashing_bodies=self._causes.bodies,
             on_crash=self.crash,
+            version=self._entry.get('version', ''),
             runs=self.arrivals,
         )
         self.processes.append(server)
@@ -444,6 +456,15 @@
         for process in tuple(ended):
             await self._store.remove('servers', process.name)
 
+    async def leave(self) -> None:
+        """Announce the end, serve a little longer and end."""
+        self._entry = self._entry | {'state': 'draining'}
+        await self.register()
+        await asyncio.sleep(DRAIN_S)
+        self._is_running = False
+        self.close()
+        await self._store.remove('servers', self.process.name)
+
     def close(self) -> None:
         """End without a restart."""
         for task in self._tasks:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -79,7 +79,7 @@
             for number, call in enumerate(calls)
         )
     )
-    return dict(zip(calls, begun, strict=True))
+    return {call: body for call, (_, body) in zip(calls, begun, strict=True)}
 
 
 async def take_up_all(fleet, begun):
