Keep blocked parts in the table of facts

Refactoring: the merge, expiry, clock and size rules of the block list are those of all facts. Behaviour as before; the tests of the block list are unchanged but for the name of the time.

--- a/src/siskinpass/platform/part_records.py
+++ b/src/siskinpass/platform/part_records.py
@@ -48,7 +48,7 @@
 
 @encode_record.register
 def _encode_blocked(record: BlockedParts) -> dict[str, Any]:
-    return {PARTS: sorted(record.parts), ASKED: record.asked_s}
+    return {PARTS: sorted(record.parts), ASKED: record.at_s}
 
 
 @encode_record.register
--- a/src/siskinpass/process/blocked_parts.py
+++ b/src/siskinpass/process/blocked_parts.py
@@ -1,22 +1,28 @@
-"""Track the prompt parts whose requests are sent to no server.
+"""Track the prompt parts and requests that are sent to no server.
 
 Pure logic. Parts stay blocked as long as requests with them come, and for
 ``BLOCK_S`` after the last of them. The time of that request is renewed now and
-then and told to all instances; the latest one counts.
+then and announced to all instances; the latest one counts.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from itertools import starmap
 
+from siskinpass.process.facts import (
+    FactTable,
+    is_current,
+    lifetime_s,
+    renewal_s,
+    subject_of,
+)
 from siskinpass.request.identity import is_identity
 
 # Time without any request after which parts are tried again.
 BLOCK_S = 900.0
-# Age of the last request at which an instance that refuses another one tells
-# the others about it.
+# Age of the last request at which an instance that refuses another one
+# announces it.
 RENEW_S = 60.0
-# Smaller differences of the time are not worth telling anyone.
+# Smaller differences of the time are not worth an announcement.
 MIN_RENEWAL_S = 1.0
 MAX_BLOCKED = 256
 
@@ -25,12 +31,12 @@
 class BlockedParts:
     """Prompt parts that crash servers if a prompt holds all of them.
 
-    :param parts: names of the parts, mostly a single one.
-    :param asked_s: Unix time of the last request with them that is known.
+    :param parts: names of the parts, mostly a single one, or of a request.
+    :param at_s: Unix time of the last request with them that is known.
     """
 
     parts: frozenset[str]
-    asked_s: float
+    at_s: float
 
     @property
     def is_request(self) -> bool:
@@ -39,37 +45,40 @@
 
     def is_current(self, now_s: float) -> bool:
         """Return whether requests with the parts are refused."""
-        return now_s - self.asked_s < BLOCK_S
+        return is_current(self, now_s)
 
     def needs_renewal(self, now_s: float) -> bool:
-        """Return whether the others should hear of a request that comes now."""
-        return now_s - self.asked_s >= RENEW_S
+        """Return whether a request that comes now has to be announced."""
+        return now_s - self.at_s >= RENEW_S
+
+
+@subject_of.register
+def _blocked_parts(fact: BlockedParts) -> frozenset[str]:
+    return fact.parts
+
+
+@lifetime_s.register
+def _block_s(fact: BlockedParts) -> float:
+    return BLOCK_S
+
+
+@renewal_s.register
+def _min_renewal_s(fact: BlockedParts) -> float:
+    return MIN_RENEWAL_S
 
 
 class BlockList:
     """Blocked parts, each with the time of its last request."""
 
     def __init__(self) -> None:
-        self._asked_s: dict[frozenset[str], float] = {}
+        self._blocked: FactTable[BlockedParts] = FactTable(MAX_BLOCKED)
 
     def merge(
         self, blocked: Iterable[BlockedParts], now_s: float
     ) -> tuple[BlockedParts, ...]:
-        """Add parts and return those that were news.
-
-        Expired ones are not added. A time in the future, by a clock that is
-        wrong, counts as now.
-        """
-        news = []
-        for given in blocked:
-            one = BlockedParts(given.parts, min(given.asked_s, now_s))
-            known_s = self._asked_s.get(one.parts, 0.0)
-            is_later = one.asked_s >= known_s + MIN_RENEWAL_S
-            if one.parts and is_later and one.is_current(now_s):
-                self._asked_s[one.parts] = one.asked_s
-                news.append(one)
-        self._drop(now_s)
-        return tuple(news)
+        """Add parts and return those that were not known."""
+        self._blocked.expire(now_s)
+        return self._blocked.merge((one for one in blocked if one.parts), now_s)
 
     def find(self, parts: Iterable[str], now_s: float) -> BlockedParts | None:
         """Return what blocks a prompt, ``None`` if nothing does.
@@ -84,17 +93,4 @@
 
     def current(self, now_s: float) -> tuple[BlockedParts, ...]:
         """Return all blocked parts."""
-        return tuple(
-            one
-            for one in starmap(BlockedParts, self._asked_s.items())
-            if one.is_current(now_s)
-        )
-
-    def _drop(self, now_s: float) -> None:
-        """Drop the expired parts, and the oldest ones above the limit."""
-        ordered = sorted(
-            self.current(now_s), key=lambda one: one.asked_s, reverse=True
-        )
-        self._asked_s = {
-            one.parts: one.asked_s for one in ordered[:MAX_BLOCKED]
-        }
+        return self._blocked.current(now_s)
--- a/src/siskinpass/process/facts.py
+++ b/src/siskinpass/process/facts.py
@@ -40,6 +40,12 @@
     raise TypeError(fact)
 
 
+@singledispatch
+def renewal_s(fact: Fact) -> float:
+    """Return by how much evidence must be later to be worth a report."""
+    return 0.0
+
+
 def is_current(fact: Fact, now_s: float) -> bool:
     """Return whether a fact still counts.
 
@@ -72,8 +78,7 @@
             fact = replace(reported, at_s=min(reported.at_s, now_s))
             subject = subject_of(fact)
             known = self._facts.get(subject)
-            is_later = known is None or fact.at_s > known.at_s
-            if is_later and is_current(fact, now_s):
+            if _is_later(fact, known) and is_current(fact, now_s):
                 self._facts[subject] = fact
                 self._facts.move_to_end(subject)
                 added.append(fact)
@@ -106,3 +111,9 @@
         for fact in expired:
             self.drop(subject_of(fact))
         return expired
+
+
+def _is_later(fact: Fact, known: Fact | None) -> bool:
+    if known is None:
+        return True
+    return fact.at_s > known.at_s and fact.at_s >= known.at_s + renewal_s(fact)
--- a/src/siskinpass/process/fleet/feed.py
+++ b/src/siskinpass/process/fleet/feed.py
@@ -149,9 +149,7 @@
 
 
 def _encode_blocked(blocked: BlockedParts) -> pb.BlockedMessage:
-    return pb.BlockedMessage(
-        parts=sorted(blocked.parts), asked_s=blocked.asked_s
-    )
+    return pb.BlockedMessage(parts=sorted(blocked.parts), asked_s=blocked.at_s)
 
 
 def _decode_blocked(message: pb.BlockedMessage) -> BlockedParts:
--- a/src/siskinpass/process/fleet/part_guard.py
+++ b/src/siskinpass/process/fleet/part_guard.py
@@ -228,7 +228,7 @@
             self._log.note(
                 'Prompt parts are blocked.',
                 parts=sorted(one.parts),
-                asked_s=int(one.asked_s),
+                asked_s=int(one.at_s),
             )
         if news:
             self._metrics.set_state('blocked_parts', len(self.blocked))
@@ -333,12 +333,10 @@
 
     def _block(self, blocked: BlockedParts) -> None:
         self._merge((blocked,))
-        self._announce(
-            BLOCKED_TOPIC, ((sorted(blocked.parts), blocked.asked_s),)
-        )
+        self._announce(BLOCKED_TOPIC, ((sorted(blocked.parts), blocked.at_s),))
         self._recorded.add(blocked.parts)
         self._background.start(self._records.write(blocked))
 
     def _is_unrecorded(self, found: BlockedParts, now_s: float) -> bool:
-        is_old = now_s - found.asked_s >= UNRECORDED_S
+        is_old = now_s - found.at_s >= UNRECORDED_S
         return is_old and found.parts not in self._recorded
--- a/tests/test_part_crashes.py
+++ b/tests/test_part_crashes.py
@@ -222,7 +222,7 @@
         blocks.merge((BlockedParts(parts, 100.0),), now_s)
         news = blocks.merge((BlockedParts(parts, asked_s),), now_s)
         assert bool(news) is is_news
-        assert blocks.find(('a',), now_s).asked_s <= now_s
+        assert blocks.find(('a',), now_s).at_s <= now_s
 
     @pytest.mark.parametrize(
         'given',
