--- /dev/null
+++ b/src/siskinpass/process/fleet/fact_topics.py
@@ -0,0 +1,116 @@
+"""Announce facts to the other instances and read their announcements.
+
+An announcement holds the rows of some facts of one kind. Each topic is sent
+twice and may arrive repeated, late or not at all.
+"""
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import astuple, dataclass
+from typing import Any, Generic, Protocol, TypeVar
+
+from siskinpass.process.blocked_parts import BlockedParts
+from siskinpass.process.fleet.server_limits import ServerLimit
+from siskinpass.process.part_crashes import BrokenRequest, ClearedPart
+from siskinpass.process.version_history import StreamBegun
+from siskinpass.request.ticket import ServerView
+
+MAX_ROWS = 16  # of facts in one datagram
+
+FactT = TypeVar('FactT')
+
+
+class Exchange(Protocol):
+    """Sender and receiver of announcements."""
+
+    def announce(self, topic: str, payload: Any) -> None:
+        """Send a payload to the other instances."""
+
+    def subscribe(self, topic: str, receive: Callable[[Any], None]) -> None:
+        """Pass the payloads of a topic to a function."""
+
+
+@dataclass(frozen=True, slots=True)
+class FactTopic(Generic[FactT]):
+    """Announcements of one kind of facts.
+
+    :param name: name of the topic in the announcements.
+    :param encode: returns the row of a fact, of types that JSON has.
+    :param decode: returns the fact of a row.
+    """
+
+    name: str
+    encode: Callable[[FactT], Any]
+    decode: Callable[[Any], FactT]
+
+    def announce(self, exchange: Exchange, facts: Iterable[FactT]) -> None:
+        """Announce facts to the other instances."""
+        rows = [self.encode(fact) for fact in facts]
+        for start in range(0, len(rows), MAX_ROWS):
+            exchange.announce(self.name, rows[start : start + MAX_ROWS])
+
+    def subscribe(
+        self,
+        exchange: Exchange,
+        receive: Callable[[tuple[FactT, ...]], None],
+    ) -> None:
+        """Pass the facts that others announce to a function."""
+        exchange.subscribe(
+            self.name, lambda rows: receive(tuple(map(self.decode, rows)))
+        )
+
+
+def _decode_broken(row: list[Any]) -> BrokenRequest:
+    call, server, parts, *numbers = row
+    return BrokenRequest(call, server, tuple(parts), *numbers)
+
+
+def _decode_cleared(row: list[str]) -> ClearedPart:
+    part, server = row
+    return part, server
+
+
+def _encode_blocked(fact: BlockedParts) -> Any:
+    return sorted(fact.parts), fact.at_s
+
+
+def _decode_blocked(row: list[Any]) -> BlockedParts:
+    parts, at_s = row
+    return BlockedParts(frozenset(parts), at_s)
+
+
+def _encode_stream(fact: StreamBegun) -> Any:
+    return fact.stream, fact.service, fact.version
+
+
+def _decode_stream(row: list[str]) -> StreamBegun:
+    return StreamBegun(*row, time.time())
+
+
+LEAVING: FactTopic[ServerView] = FactTopic(
+    'leaving', astuple, lambda row: ServerView(*row)
+)
+LIMITS: FactTopic[ServerLimit] = FactTopic(
+    'limits', astuple, lambda row: ServerLimit(*row)
+)
+# Requests that a crash cut off.
+BROKEN: FactTopic[BrokenRequest] = FactTopic('broken', astuple, _decode_broken)
+# Parts that were in answers that went on, each with a server that had ended.
+CLEARED: FactTopic[ClearedPart] = FactTopic('cleared', tuple, _decode_cleared)
+# The same pairs for parts that will be blocked if nobody objects.
+BLAMED: FactTopic[ClearedPart] = FactTopic('blamed', tuple, _decode_cleared)
+BLOCKED: FactTopic[BlockedParts] = FactTopic(
+    'blocked', _encode_blocked, _decode_blocked
+)
+STREAMS: FactTopic[StreamBegun] = FactTopic(
+    'streams', _encode_stream, _decode_stream
+)
+TOPICS: tuple[FactTopic[Any], ...] = (
+    LEAVING,
+    LIMITS,
+    BROKEN,
+    CLEARED,
+    BLAMED,
+    BLOCKED,
+    STREAMS,
+)
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -14,34 +14,25 @@
 from siskinpass.process.broker import BrokerPolicy
 from siskinpass.process.fleet.assigner import Assigner
 from siskinpass.process.fleet.budgets import RetryBudgets
+from siskinpass.process.fleet.fact_topics import LEAVING, LIMITS, STREAMS
 from siskinpass.process.fleet.feed import StateFeed
 from siskinpass.process.fleet.forward import ForwardContext, Forwarder
 from siskinpass.process.fleet.kept_parts import KeptPartsLoader
 from siskinpass.process.fleet.loads import LoadExchange
 from siskinpass.process.fleet.members import FleetMembers
 from siskinpass.process.fleet.notices import ServerNotices
-from siskinpass.process.fleet.part_guard import (
-    BLAMED_TOPIC,
-    BLOCKED_TOPIC,
-    BROKEN_TOPIC,
-    CLEARED_TOPIC,
-    PartGuard,
-)
+from siskinpass.process.fleet.part_guard import PartGuard
 from siskinpass.process.fleet.peers import FleetPeerService
 from siskinpass.process.fleet.policy import fleet_policy
 from siskinpass.process.fleet.reader import StoreReader
 from siskinpass.process.fleet.roles import serving_members
-from siskinpass.process.fleet.server_limits import (
-    LIMIT_TOPIC,
-    ServerLimits,
-)
+from siskinpass.process.fleet.server_limits import ServerLimits
 from siskinpass.process.fleet.settings import FleetSettings
 from siskinpass.process.fleet.source import SourceParts, StateSource
 from siskinpass.process.fleet.state import StoredState
 from siskinpass.process.fleet.store_client import StoreClient
 from siskinpass.process.fleet.stream_records import StreamRecords
 from siskinpass.process.fleet.stream_versions import (
-    STREAMS_TOPIC,
     StreamVersions,
     VersionSources,
 )
@@ -66,7 +57,6 @@
 DIRECTORY_TTL_S = 1
 CACHED_TTLS = 3
 LATE_ARRIVAL_S = 0.3  # requests sent before the listener closed
-LEAVING_TOPIC = 'leaving'  # of announcements to the other instances
 EXIT_MARGIN_S = 0.3  # ahead of the kill at the end of the grace time
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
@@ -110,14 +100,14 @@
         self._guard = PartGuard(
             self._backends,
             self._store,
-            self._loads.announce,
+            self._loads,
             self._assigner.mark_ended,
             self._metrics,
         )
         self._limits = ServerLimits(
             self._members.sharing,
             self._assigner.apply_shares,
-            self._loads.announce,
+            partial(LIMITS.announce, self._loads),
             self._metrics,
         )
         self._feed = StateFeed()
@@ -134,7 +124,7 @@
                     self._state.is_reachable or not self._members.is_isolated
                 ),
                 lambda: self._store.era,
-                self._loads.announce,
+                partial(STREAMS.announce, self._loads),
             ),
             self._metrics,
             is_first_start=settings.is_first_start,
@@ -178,16 +168,9 @@
         await self._drain()
 
     def _subscribe(self) -> None:
-        self._loads.subscribe(
-            LEAVING_TOPIC,
-            lambda payload: self._state.mark_leaving(ServerView(**payload)),
-        )
-        self._loads.subscribe(LIMIT_TOPIC, self._limits.receive)
-        self._loads.subscribe(STREAMS_TOPIC, self._versions.receive)
-        self._loads.subscribe(BROKEN_TOPIC, self._guard.receive_broken)
-        self._loads.subscribe(CLEARED_TOPIC, self._guard.receive_cleared)
-        self._loads.subscribe(BLAMED_TOPIC, self._guard.receive_blamed)
-        self._loads.subscribe(BLOCKED_TOPIC, self._guard.receive_blocked)
+        LEAVING.subscribe(self._loads, self._state.receive_leaving)
+        LIMITS.subscribe(self._loads, self._limits.receive)
+        STREAMS.subscribe(self._loads, self._versions.receive)
         self._guard.subscribe(self._apply_blocked)
 
     def _apply_blocked(self, news: Iterable[BlockedParts]) -> None:
@@ -374,7 +357,7 @@
 
     def _announce_leaving(self, server: ServerView) -> None:
         if self._state.mark_leaving(server):
-            self._loads.announce(LEAVING_TOPIC, server)
+            LEAVING.announce(self._loads, (server,))
 
     def _own_loads(self) -> dict[str, ServerLoad]:
         return self._assigner.loads
--- a/src/siskinpass/process/fleet/part_guard.py
+++ b/src/siskinpass/process/fleet/part_guard.py
@@ -11,14 +11,19 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import astuple
-from typing import Any
 
 from siskinpass.codes import Code
 from siskinpass.connection.backend import BackendPool
 from siskinpass.exceptions import ConnectError, RefusedError
 from siskinpass.process.background import BackgroundTasks
 from siskinpass.process.blocked_parts import BLOCK_S, BlockedParts, BlockList
+from siskinpass.process.fleet.fact_topics import (
+    BLAMED,
+    BLOCKED,
+    BROKEN,
+    CLEARED,
+    Exchange,
+)
 from siskinpass.process.fleet.part_records import PartRecords
 from siskinpass.process.fleet.store_client import StoreClient
 from siskinpass.process.fleet.watch import Listed, StoreUnavailable, StoreUpdate
@@ -35,11 +40,6 @@
 from siskinpass.request.ticket import ServerView
 
 MS_PER_S = 1000
-# Topics of the announcements to the other instances.
-BROKEN_TOPIC = 'broken'
-CLEARED_TOPIC = 'cleared'
-BLAMED_TOPIC = 'blamed'
-BLOCKED_TOPIC = 'blocked'
 # Time after which the idle connections to a server that ended are closed.
 CLOSE_DELAY_S = 0.05
 # Longest wait for the result of the check whether a server has ended: one that
@@ -52,7 +52,6 @@
 # them seems to have failed to.
 UNRECORDED_S = 3.0
 
-Announce = Callable[[str, Any], None]
 OnEnded = Callable[[str, int], None]
 OnBlocked = Callable[[Iterable[BlockedParts]], None]
 
@@ -62,7 +61,7 @@
 
     :param backends: connections, with which the end of a server is checked.
     :param store: where blocked parts are recorded.
-    :param announce: sends a payload on a topic to the other instances.
+    :param exchange: sends facts to the other instances and receives theirs.
     :param on_ended: called with the name and the incarnation of each server
         whose process has ended under a request, here or at another instance.
     """
@@ -71,13 +70,13 @@
         self,
         backends: BackendPool,
         store: StoreClient,
-        announce: Announce,
+        exchange: Exchange,
         on_ended: OnEnded,
         metrics: Metrics,
     ) -> None:
         self._backends = backends
         self._records = PartRecords(store)
-        self._announce = announce
+        self._exchange = exchange
         self._on_ended = on_ended
         self._metrics = metrics
         self._log = ComponentLog('parts')
@@ -88,6 +87,7 @@
         self._background = BackgroundTasks()
         self._listeners: list[OnBlocked] = []
         self._contests: dict[frozenset[str], asyncio.Task[None]] = {}
+        self._subscribe()
 
     @property
     def blocked(self) -> tuple[BlockedParts, ...]:
@@ -150,7 +150,7 @@
         """Record that an answer to a prompt with some parts went on."""
         cleared = self._crashes.clear(parts)
         if cleared:
-            self._announce(CLEARED_TOPIC, cleared)
+            CLEARED.announce(self._exchange, cleared)
             self._check_beside(cleared)
 
     async def note_broken(
@@ -164,37 +164,24 @@
         check = self._background.start(self._check_server(request, server))
         await asyncio.wait((check,), timeout=VERDICT_S)
 
-    def receive_broken(self, payload: list[list[Any]]) -> None:
-        """Take in requests that another instance saw break off."""
-        self._add_ended(
-            BrokenRequest(call, server, tuple(parts), *numbers)
-            for call, server, parts, *numbers in payload
-        )
+    def _subscribe(self) -> None:
+        BROKEN.subscribe(self._exchange, self._add_ended)
+        CLEARED.subscribe(self._exchange, self._merge_cleared)
+        BLAMED.subscribe(self._exchange, self._object)
+        BLOCKED.subscribe(self._exchange, self._merge)
 
-    def receive_cleared(self, payload: list[list[str]]) -> None:
-        """Take in parts that another instance saw in answers that went on."""
-        news = self._crashes.merge_cleared(
-            (part, server) for part, server in payload
-        )
-        self._check_beside(news)
+    def _merge_cleared(self, pairs: Iterable[ClearedPart]) -> None:
+        """Merge parts that another instance saw in answers that went on."""
+        self._check_beside(self._crashes.merge_cleared(pairs))
 
-    def receive_blamed(self, payload: list[list[str]]) -> None:
+    def _object(self, blamed: Iterable[ClearedPart]) -> None:
         """Object if another instance blames parts that were sound here."""
-        cleared = self._crashes.cleared_among(
-            (part, server) for part, server in payload
-        )
+        cleared = self._crashes.cleared_among(blamed)
         if cleared:
-            self._announce(CLEARED_TOPIC, cleared)
-
-    def receive_blocked(self, payload: list[list[Any]]) -> None:
-        """Take in parts that another instance has blocked."""
-        self._merge(
-            BlockedParts(frozenset(parts), asked_s)
-            for parts, asked_s in payload
-        )
+            CLEARED.announce(self._exchange, cleared)
 
     def receive_relayed(self, blocked: tuple[BlockedParts, ...]) -> None:
-        """Take in parts that the reader of the store knows as blocked."""
+        """Merge parts that the reader of the store knows as blocked."""
         self._recorded.update(one.parts for one in blocked)
         self._merge(blocked)
 
@@ -252,7 +239,7 @@
                 begun=request.weight == BEGUN_WEIGHT,
             )
             self._metrics.noticed('crash')
-            self._announce(BROKEN_TOPIC, (astuple(request),))
+            BROKEN.announce(self._exchange, (request,))
             self._add_ended((request,))
             for one in self._worth_recording(request):
                 self._background.start(
@@ -315,7 +302,7 @@
             'Prompt parts are blamed.', parts=sorted(blamed), servers=servers
         )
         pairs = tuple((one, server) for one in blamed for server in servers)
-        self._announce(BLAMED_TOPIC, pairs)
+        BLAMED.announce(self._exchange, pairs)
         task = asyncio.ensure_future(self._decide(part))
         self._contests[blamed] = task
         task.add_done_callback(lambda _: self._contests.pop(blamed))
@@ -333,7 +320,7 @@
 
     def _block(self, blocked: BlockedParts) -> None:
         self._merge((blocked,))
-        self._announce(BLOCKED_TOPIC, ((sorted(blocked.parts), blocked.at_s),))
+        BLOCKED.announce(self._exchange, (blocked,))
         self._recorded.add(blocked.parts)
         self._background.start(self._records.write(blocked))
 
--- a/src/siskinpass/process/fleet/server_limits.py
+++ b/src/siskinpass/process/fleet/server_limits.py
@@ -1,40 +1,47 @@
 """Keep the rate limits of servers together with the other instances."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, replace
-from typing import Any
+from dataclasses import dataclass
 
+from siskinpass.process.facts import FactTable, lifetime_s, subject_of
 from siskinpass.process.logs import ComponentLog
 from siskinpass.process.metrics import Metrics
 from siskinpass.process.server_pace import Sharing, share_of
 from siskinpass.request.ticket import ServerView, Share
 
-MS_PER_S = 1000
-LIMIT_TOPIC = 'limit'  # of announcements to the other instances
-# Instances that start later hear of a limit within this time, as long as any
+# Instances that start later receive a limit within this time, as long as any
 # of the others gets answers that state it.
 ANNOUNCE_S = 1.0
+MAX_LIMITS = 10_000
+MIN_STEP_S = 0.001  # between two answers of one server
 
 
 @dataclass(frozen=True, slots=True)
-class _Limit:
-    """Limit of one server.
+class ServerLimit:
+    """Rate limit of one process of a server.
 
     :param incarnation: process of the server that stated it.
     :param per_s: requests a second, ``None`` if it states none any more.
-    :param answered_ms: when the answer came that stated or ended it, in Unix
-        ms.
-    :param named_s: when this instance last heard of it.
-    :param announced_s: when this instance last told the others.
+    :param at_s: Unix time of the answer that stated or ended it.
     """
 
+    server: str
     incarnation: int
     per_s: float | None
-    answered_ms: int
-    named_s: float
-    announced_s: float = 0.0
+    at_s: float
+
+
+@subject_of.register
+def _process_of(fact: ServerLimit) -> tuple[str, int]:
+    return fact.server, fact.incarnation
+
+
+@lifetime_s.register
+def _as_long_as_listed(fact: ServerLimit) -> float:
+    return math.inf
 
 
 class ServerLimits:
@@ -42,14 +49,14 @@
 
     :param sharing: returns the instances that share them.
     :param on_shares: called with this instance's share of each limited server.
-    :param announce: sends a payload on a topic to the other instances.
+    :param announce: sends limits to the other instances.
     """
 
     def __init__(
         self,
         sharing: Callable[[], Sharing],
         on_shares: Callable[[Mapping[str, Share]], None],
-        announce: Callable[[str, Any], None],
+        announce: Callable[[Iterable[ServerLimit]], None],
         metrics: Metrics,
     ) -> None:
         self._sharing = sharing
@@ -58,15 +65,18 @@
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._log = ComponentLog('limits')
-        self._limits: dict[str, _Limit] = {}
+        self._limits: FactTable[ServerLimit] = FactTable(MAX_LIMITS)
+        # By server, on the event loop's clock.
+        self._received_s: dict[str, float] = {}
+        self._announced_s: dict[str, float] = {}
         self._shares: dict[str, Share] = {}
 
     @property
     def known_limits(self) -> dict[str, float]:
         """Return the requests a second of each limited server."""
         return {
-            name: limit.per_s
-            for name, limit in self._limits.items()
+            limit.server: limit.per_s
+            for limit in self._limits.current(time.time())
             if limit.per_s is not None
         }
 
@@ -81,77 +91,67 @@
         :param per_s: requests a second, ``None`` if the answer states no limit.
         :param sent_s: when the request was sent, on the event loop's clock.
         """
-        known = self._known(server.name, server.incarnation)
+        known = self._limits.find(
+            (server.name, server.incarnation), time.time()
+        )
         is_limited = known is not None and known.per_s is not None
-        if per_s is None and not (is_limited and sent_s > known.named_s):
+        received_s = self._received_s.get(server.name, 0.0)
+        if per_s is None and not (is_limited and sent_s > received_s):
             return
-        now_ms = int(time.time() * MS_PER_S)
-        self._set(server.name, server.incarnation, per_s, now_ms)
-        self._announce_rarely(server.name)
+        # Later than the known one, even if the clock was set back.
+        at_s = max(time.time(), known.at_s + MIN_STEP_S if known else 0.0)
+        limit = ServerLimit(server.name, server.incarnation, per_s, at_s)
+        self._merge(limit, at_s)
+        self._announce_rarely(limit)
 
-    def receive(self, payload: tuple[str, int, float | None, int]) -> None:
-        """Take in what another instance says of a server's limit.
+    def receive(self, limits: Iterable[ServerLimit]) -> None:
+        """Merge limits that other instances announce.
 
         What an earlier answer said is ignored: announcements are repeated, and
         may overtake each other.
         """
-        name, incarnation, per_s, answered_ms = payload
-        known = self._known(name, incarnation)
-        if known is None or answered_ms > known.answered_ms:
-            self._set(name, incarnation, per_s, answered_ms)
+        for limit in limits:
+            self._merge(limit, time.time())
 
     def refresh(self, servers: Iterable[ServerView]) -> None:
         """Adapt to the instances and servers that there are now.
 
         :param servers: all listed servers.
         """
-        if not self._limits:
+        limits = self._limits.current(time.time())
+        if not limits:
             return
-        listed = {server.name: server.incarnation for server in servers}
-        self._limits = {
-            name: limit
-            for name, limit in self._limits.items()
-            if listed.get(name) == limit.incarnation
-        }
+        listed = {(server.name, server.incarnation) for server in servers}
+        for limit in limits:
+            if subject_of(limit) not in listed:
+                self._limits.drop(subject_of(limit))
         self._share()
 
-    def _known(self, name: str, incarnation: int) -> _Limit | None:
-        known = self._limits.get(name)
-        if known is None or known.incarnation != incarnation:
-            return None
-        return known
-
-    def _set(
-        self, name: str, incarnation: int, per_s: float | None, answered_ms: int
-    ) -> None:
-        now_s = self._loop.time()
-        known = self._known(name, incarnation)
-        if known is not None and known.per_s == per_s:
-            self._limits[name] = replace(
-                known, answered_ms=answered_ms, named_s=now_s
-            )
+    def _merge(self, limit: ServerLimit, now_s: float) -> None:
+        known = self._limits.find(subject_of(limit), now_s)
+        if not self._limits.merge((limit,), now_s):
             return
-        self._limits[name] = _Limit(incarnation, per_s, answered_ms, now_s)
+        self._received_s[limit.server] = self._loop.time()
+        if known is None or known.per_s != limit.per_s:
+            self._apply(limit)
+
+    def _apply(self, limit: ServerLimit) -> None:
         self._metrics.noticed('limit')
         self._share()
-        share = self._shares.get(name)
+        share = self._shares.get(limit.server)
         self._log.note(
             'The limit of a server has changed.',
-            server=name,
-            limit_per_s=per_s,
+            server=limit.server,
+            limit_per_s=limit.per_s,
             interval_s=round(share.interval_s, 3) if share else 0,
         )
 
-    def _announce_rarely(self, name: str) -> None:
+    def _announce_rarely(self, limit: ServerLimit) -> None:
         now_s = self._loop.time()
-        limit = self._limits[name]
-        if now_s - limit.announced_s < ANNOUNCE_S:
+        if now_s - self._announced_s.get(limit.server, 0.0) < ANNOUNCE_S:
             return
-        self._limits[name] = replace(limit, announced_s=now_s)
-        self._announce(
-            LIMIT_TOPIC,
-            (name, limit.incarnation, limit.per_s, limit.answered_ms),
-        )
+        self._announced_s[limit.server] = now_s
+        self._announce((limit,))
 
     def _share(self) -> None:
         sharing = self._sharing()
--- a/src/siskinpass/process/fleet/state.py
+++ b/src/siskinpass/process/fleet/state.py
@@ -151,6 +151,11 @@
         self._on_servers(self._servers.views)
         return True
 
+    def receive_leaving(self, servers: Iterable[ServerView]) -> None:
+        """Stop using servers of which other instances say that they leave."""
+        for server in servers:
+            self.mark_leaving(server)
+
     def _adopt(self, stored: StoredObject) -> None:
         try:
             table = decode_config(stored.body)
--- a/src/siskinpass/process/fleet/stream_versions.py
+++ b/src/siskinpass/process/fleet/stream_versions.py
@@ -10,7 +10,6 @@
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import astuple, dataclass
-from typing import Any
 
 from siskinpass.codes import Code
 from siskinpass.exceptions import RefusedError, StoreError
@@ -30,11 +29,9 @@
 from siskinpass.request.ticket import ServerView
 
 MS_PER_S = 1000
-STREAMS_TOPIC = 'streams'  # of announcements to the other instances
 # Streams that begin within this time are announced, and recorded, together.
 ANNOUNCE_S = 0.05
 RECORD_S = 0.2
-MAX_ANNOUNCED = 16  # streams in one datagram
 WRITE_RETRY_S = 1.0
 # Instances that record a version, and remove its record when it has ended.
 RECORDERS = 2
@@ -56,14 +53,14 @@
     :param is_connected: returns whether the instance hears of new servers, from
         the store or from other instances.
     :param era: returns the number of times that the store was restored.
-    :param announce: sends a payload on a topic to the other instances.
+    :param announce: sends streams to the other instances.
     """
 
     services: Callable[[], frozenset[str]]
     names: Callable[[], Iterable[str]]
     is_connected: Callable[[], bool]
     era: Callable[[], int]
-    announce: Callable[[str, Any], None]
+    announce: Callable[[Iterable[StreamBegun]], None]
 
 
 class StreamVersions:
@@ -167,14 +164,14 @@
             )
         return found
 
-    def receive(self, payload: list[list[Any]]) -> None:
-        """Add streams that another instance announces."""
+    def receive(self, facts: Iterable[StreamBegun]) -> None:
+        """Merge streams that another instance announces."""
         now_s = time.time()
-        facts = [StreamBegun(*fields, now_s) for fields in payload]
-        self._history.streams.merge(facts, now_s)
+        given = tuple(facts)
+        self._history.streams.merge(given, now_s)
         # A version of which this instance has not heard may serve already.
         self._history.served.merge(
-            (VersionServed(one.service, one.version, now_s) for one in facts),
+            (VersionServed(one.service, one.version, now_s) for one in given),
             now_s,
         )
 
@@ -230,11 +227,7 @@
 
     def _announce(self) -> None:
         streams, self._unannounced = self._unannounced, []
-        rows = [astuple(one)[:-1] for one in streams]
-        for start in range(0, len(rows), MAX_ANNOUNCED):
-            self._sources.announce(
-                STREAMS_TOPIC, rows[start : start + MAX_ANNOUNCED]
-            )
+        self._sources.announce(streams)
 
     async def _record_streams(self) -> None:
         streams = [
--- a/tests/test_part_guard.py
+++ b/tests/test_part_guard.py
@@ -21,6 +21,7 @@
 )
 from siskinpass.process.blocked_parts import BLOCK_S, BlockedParts
 from siskinpass.process.fleet import part_guard, part_records
+from siskinpass.process.fleet.fact_topics import CLEARED
 from siskinpass.process.fleet.watch import Listed
 from siskinpass.process.metrics import Metrics
 from siskinpass.process.part_crashes import BEGUN_WEIGHT, BrokenRequest
@@ -104,30 +105,40 @@
     def __init__(self, count, store, backends=None):
         self.lost = set()
         self.ended = []
+        self.ports = [Port(self, number) for number in range(count)]
         self.guards = [
             part_guard.PartGuard(
                 backends or Backends(),
                 store,
-                lambda topic, payload, number=number: self._announce(
-                    number, topic, payload
-                ),
+                port,
                 lambda *server: self.ended.append(server),
                 Metrics(),
             )
-            for number in range(count)
+            for port in self.ports
         ]
 
-    def _announce(self, sender, topic, payload):
-        for number, guard in enumerate(self.guards):
-            is_lost = topic in self.lost and number == len(self.guards) - 1
-            if number != sender and not is_lost:
-                receive = {
-                    part_guard.BROKEN_TOPIC: guard.receive_broken,
-                    part_guard.CLEARED_TOPIC: guard.receive_cleared,
-                    part_guard.BLAMED_TOPIC: guard.receive_blamed,
-                    part_guard.BLOCKED_TOPIC: guard.receive_blocked,
-                }[topic]
-                receive(payload)
+
+class Port:
+    """Announcements of one instance on a bus.
+
+    :ivar receivers: functions of the instance by topic.
+    """
+
+    def __init__(self, bus, number):
+        self._bus = bus
+        self._number = number
+        self.receivers = {}
+
+    def subscribe(self, topic, receive):
+        self.receivers[topic] = receive
+
+    def announce(self, topic, payload):
+        rows = orjson.loads(orjson.dumps(payload))
+        for number, port in enumerate(self._bus.ports):
+            is_last = number == len(self._bus.ports) - 1
+            is_lost = topic in self._bus.lost and is_last
+            if number != self._number and not is_lost:
+                port.receivers[topic](rows)
 
 
 def crash(number, *parts):
@@ -185,7 +196,7 @@
 
         async def scenario():
             bus = Bus(3, Store())
-            bus.lost.add(part_guard.CLEARED_TOPIC)
+            bus.lost.add(CLEARED.name)
             for number in range(1, 4):
                 report(bus.guards[0], *crash(number, SYS, BAD))
                 await asyncio.sleep(2 * part_guard.CLOSE_DELAY_S)
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -14,7 +14,7 @@
     busiest_window,
 )
 from siskinpass.codes import MEANINGS, Code
-from siskinpass.process.fleet.server_limits import ServerLimits
+from siskinpass.process.fleet.server_limits import ServerLimit, ServerLimits
 from siskinpass.process.metrics import Metrics
 from siskinpass.process.server_pace import Sharing
 from tests.test_fleet import run_scenario
@@ -184,11 +184,11 @@
             limits = ServerLimits(
                 lambda: Sharing('a', ('a',)),
                 shares.update,
-                lambda topic, payload: None,
+                lambda facts: None,
                 Metrics(),
             )
-            for per_s, at_ms in payloads:
-                limits.receive(['i-1', 1, per_s, at_ms])
+            for per_s, at_s in payloads:
+                limits.receive([ServerLimit('i-1', 1, per_s, at_s)])
             return limits.known_limits
 
         expected = {} if expected is None else {'i-1': expected}
