Keep the ports of test runs side by side apart

Cause: each process counted ports up from a random one. A process now reserves a block of ports, whose first one it holds as long as it runs.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 import os
-import random
 import re
 import socket
 import sys
@@ -11,6 +10,7 @@
 from collections.abc import AsyncGenerator
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
+from functools import lru_cache
 from pathlib import Path
 
 from siskinpass.process.fleet.settings import (
@@ -27,9 +27,10 @@
 
 WAIT_S = 20.0
 POLL_S = 0.02
+# Below the range from which outgoing connections take their own ports.
 MIN_PORT = 10_000
-MAX_FIRST_PORT = 25_000  # the tests take far fewer than the ports above it
-PORTS = itertools.count(random.randrange(MIN_PORT, MAX_FIRST_PORT))
+MAX_PORT = 32_000
+BLOCK_PORTS = 2_200  # of one process
 HOST = 'h.example'
 # Body of a whole stream of a server.
 WHOLE = b''.join(
@@ -246,21 +247,45 @@
             return False
 
 
-def free_ports(count):
-    """Return TCP ports that nothing listens on.
+class PortBlock:
+    """Ports that no other process with a block takes.
 
-    They are below the range from which outgoing connections take their own
-    ports, since one of these could take a port before its listener does. No
-    port is returned twice, as a process that got it may not listen yet.
-    Instances also use UDP ports of these and neighbouring numbers, which are
-    assumed to be free.
+    The first port of a block is held as long as the process runs.
     """
-    found: list[int] = []
-    while len(found) < count:
-        port = next(PORTS)
-        with suppress(OSError), socket.create_server(('127.0.0.1', port)):
-            found.append(port)
-    return found
+
+    def __init__(self) -> None:
+        self._lock, first = self._reserve()
+        self._ports = itertools.cycle(range(first + 1, first + BLOCK_PORTS))
+
+    def take(self, count: int) -> list[int]:
+        """Return TCP ports that nothing listens on.
+
+        None is returned again before all others were, as a process that got it
+        may not listen yet. Instances also use UDP ports of these and
+        neighbouring numbers, which are assumed to be free.
+        """
+        found: list[int] = []
+        while len(found) < count:
+            port = next(self._ports)
+            with suppress(OSError), socket.create_server(('127.0.0.1', port)):
+                found.append(port)
+        return found
+
+    def _reserve(self) -> tuple[socket.socket, int]:
+        for first in range(MIN_PORT, MAX_PORT - BLOCK_PORTS, BLOCK_PORTS):
+            with suppress(OSError):
+                return socket.create_server(('127.0.0.1', first)), first
+        raise AssertionError('all blocks of ports are taken')
+
+
+@lru_cache(maxsize=1)
+def _port_block() -> PortBlock:
+    return PortBlock()
+
+
+def free_ports(count):
+    """Return TCP ports that nothing listens on."""
+    return _port_block().take(count)
 
 
 async def exchange(port, wire):
