Test that other instances keep a limit they have no answer of; renew versions cheaply

Listed versions are renewed from their set instead of all servers, whose number is in the thousands at the target.

--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -327,7 +327,7 @@
             await asyncio.sleep(TICK_S)
             self._state.expire_missing()
             self._limits.refresh(self._assigner.servers)
-            self._versions.refresh(self._assigner.servers)
+            self._versions.refresh()
             self._callers = {one for one in self._callers if one.is_open}
 
     def _policy_for(self, pool: str) -> BrokerPolicy:
@@ -340,7 +340,7 @@
         given = tuple(views)
         self._assigner.set_servers(given)
         self._limits.refresh(given)
-        self._versions.refresh(given)
+        self._versions.list_servers(given)
         self._feed.publish_servers(given)
 
     def _load_sockets(self) -> list[tuple[str, int]]:
--- a/src/siskinpass/process/fleet/stream_versions.py
+++ b/src/siskinpass/process/fleet/stream_versions.py
@@ -21,6 +21,7 @@
 from siskinpass.process.rendezvous import rank
 from siskinpass.process.version_history import (
     MAX_STREAMS,
+    ServiceVersion,
     StreamBegun,
     VersionHistory,
     VersionServed,
@@ -87,6 +88,7 @@
         self._history = VersionHistory()
         # Streams of this instance that are open or have broken off.
         self._streams: FactTable[StreamBegun] = FactTable(MAX_STREAMS)
+        self._listed: frozenset[ServiceVersion] = frozenset()
         self._unannounced: list[StreamBegun] = []
         self._mixed: frozenset[str] = frozenset()
         self._era = 0
@@ -106,19 +108,23 @@
             self._has_unrecorded.clear()
             await self._record_streams()
 
-    def refresh(self, views: Iterable[ServerView]) -> None:
-        """Adapt to the servers that there are now.
+    def list_servers(self, views: Iterable[ServerView]) -> None:
+        """Replace the listed servers."""
+        services = self._sources.services()
+        self._listed = frozenset(
+            (view.pool, view.version) for view in views if view.pool in services
+        )
+        self.refresh()
 
-        Called at each change of them, and now and then.
+    def refresh(self) -> None:
+        """Keep the listed versions current, and let others expire.
 
-        :param views: all listed servers.
+        Has to be called several times in the life of a stream.
         """
-        services = self._sources.services()
-        listed = [view for view in views if view.pool in services]
-        for fact in self._history.list_servers(listed, time.time()):
+        for fact in self._history.note_served(self._listed, time.time()):
             self._background.start(self._record_version(fact))
         self._expire()
-        self._update_mixed(services)
+        self._update_mixed()
         self._check_era()
 
     def begin(self, call_id: str, server: ServerView) -> None:
@@ -195,11 +201,11 @@
             is_complete=self._is_complete and self._sources.is_connected(),
         )
 
-    def _update_mixed(self, services: frozenset[str]) -> None:
+    def _update_mixed(self) -> None:
         now_s = time.time()
         mixed = frozenset(
             service
-            for service in services
+            for service in self._sources.services()
             if self._history.is_mixed(service, now_s)
         )
         added, ended = mixed - self._mixed, self._mixed - mixed
--- a/src/siskinpass/process/version_history.py
+++ b/src/siskinpass/process/version_history.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass
 
 from siskinpass.process.facts import FactTable, lifetime_s, subject_of
-from siskinpass.request.ticket import ServerView
 
 # Longest time from the first event of a stream to a take-up by its caller.
 STREAM_LIFE_S = 60.0
@@ -20,6 +19,10 @@
 NAME_BYTES = 8
 
 
+# A service and a software version of its servers.
+ServiceVersion = tuple[str, str]
+
+
 def stream_name(call_id: str) -> str:
     """Return a name of fixed size for the stream that a call began.
 
@@ -63,7 +66,7 @@
 
 
 @subject_of.register
-def _version_of(fact: VersionServed) -> tuple[str, str]:
+def _version_of(fact: VersionServed) -> ServiceVersion:
     return fact.service, fact.version
 
 
@@ -84,25 +87,20 @@
         self.streams: FactTable[StreamBegun] = FactTable(MAX_STREAMS)
         self.served: FactTable[VersionServed] = FactTable(MAX_VERSIONS)
 
-    def list_servers(
-        self, views: Iterable[ServerView], now_s: float
+    def note_served(
+        self, versions: Iterable[ServiceVersion], now_s: float
     ) -> tuple[VersionServed, ...]:
-        """Record the versions of the listed servers.
+        """Record the versions of the servers that are listed now.
 
         :returns: those that were not known to serve.
         """
-        facts = {
-            (view.pool, view.version): VersionServed(
-                view.pool, view.version, now_s
-            )
-            for view in views
-        }
+        facts = [VersionServed(*version, now_s) for version in versions]
         unknown = tuple(
             fact
-            for subject, fact in facts.items()
-            if self.served.find(subject, now_s) is None
+            for fact in facts
+            if self.served.find(subject_of(fact), now_s) is None
         )
-        self.served.merge(facts.values(), now_s)
+        self.served.merge(facts, now_s)
         return unknown
 
     def versions(self, services: Iterable[str], now_s: float) -> frozenset[str]:
--- a/tests/test_facts.py
+++ b/tests/test_facts.py
@@ -157,12 +157,9 @@
         assert sorted(names) == sorted(SAMPLES)
 
 
-def servers(*versions, pool='app'):
-    """Return one listed server of each version."""
-    return [
-        ServerView(f'{pool}-{one}', '1.1.1.1:1', pool, version=one)
-        for one in versions
-    ]
+def serving(*versions, service='app'):
+    """Return versions of a service that have servers."""
+    return [(service, version) for version in versions]
 
 
 class TestVersionHistory:
@@ -186,23 +183,23 @@
         """It counts only if one version can have begun it."""
         history = VersionHistory()
         for versions in listings:
-            history.list_servers(servers(*versions), NOW_S)
+            history.note_served(serving(*versions), NOW_S)
         found = history.origin('s', ['app'], now_s, is_complete=is_complete)
         assert (found and found.version) == expected
 
     def test_version_that_left_long_ago(self):
         """After the life of a stream it can have begun none any more."""
         history = VersionHistory()
-        history.list_servers(servers('v1'), NOW_S)
+        history.note_served(serving('v1'), NOW_S)
         end_s = NOW_S + STREAM_LIFE_S
-        history.list_servers(servers('v2'), end_s)
+        history.note_served(serving('v2'), end_s)
         found = history.origin('s', ['app'], end_s, is_complete=True)
         assert found.version == 'v2'
 
     def test_known_stream(self):
         """It is found whatever serves, for as long as it may be taken up."""
         history = VersionHistory()
-        history.list_servers(servers('v1', 'v2'), NOW_S)
+        history.note_served(serving('v1', 'v2'), NOW_S)
         known = StreamBegun('s', 'app', 'v1', NOW_S)
         history.streams.merge([known], NOW_S)
         end_s = NOW_S + STREAM_LIFE_S
@@ -215,8 +212,8 @@
     def test_services_of_a_route(self):
         """Each of them may have begun a stream that is not known."""
         history = VersionHistory()
-        listed = servers('v1'), servers('v2', pool='other')
-        history.list_servers(itertools.chain(*listed), NOW_S)
+        listed = serving('v1'), serving('v2', service='other')
+        history.note_served(itertools.chain(*listed), NOW_S)
         one = history.origin('s', ['app'], NOW_S, is_complete=True)
         both = history.origin('s', ['app', 'other'], NOW_S, is_complete=True)
         assert one.version == 'v1'
@@ -227,7 +224,7 @@
     def test_lost_and_reordered_reports(self, order, lost):
         """A stream is never taken for one of another version."""
         history = VersionHistory()
-        history.list_servers(servers('v0', 'v1'), NOW_S)
+        history.note_served(serving('v0', 'v1'), NOW_S)
         streams = [
             StreamBegun(f's{number}', 'app', f'v{number % 2}', NOW_S - number)
             for number in range(6)
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -162,6 +162,24 @@
         run_scenario(scenario)
 
 
+class TestOtherInstances:
+    """Test instances that have had no answer of a limited server."""
+
+    def test_they_keep_the_limit_too(self):
+        """They have it from the one that got such an answer."""
+
+        async def scenario(fleet):
+            server = fleet.servers[0]
+            server.notices['Server-Limit'] = '1'
+            await fleet.ask('/once/x', name='front-1', call='first')
+            await wait_until(
+                lambda: _knows_a_limit(fleet, 'front-2'), 'front-2 to know'
+            )
+            assert not any('front-2' in call for call in server.arrivals)
+
+        run_scenario(scenario, servers=1, instances=2)
+
+
 class TestAnnouncements:
     """Test what an instance makes of announcements that overtake each other."""
 
@@ -196,5 +214,10 @@
 
 
 async def _know_a_limit(fleet):
-    metrics = [await fleet.get('/metrics', 4, name) for name in fleet.processes]
-    return all(b'kind="limit"} ' in one.body for one in metrics)
+    known = [await _knows_a_limit(fleet, name) for name in fleet.processes]
+    return all(known)
+
+
+async def _knows_a_limit(fleet, name):
+    metrics = await fleet.get('/metrics', 4, name)
+    return b'kind="limit"} ' in metrics.body
