Word the handling of crashes for parts and requests, and use the usual terms

Renames only: CrashEvidence, CrashGuard and CrashCheck, which deal with requests as well as parts; 'news', 'heard' and 'told' become added, updates, received and announced. No logic changes.

--- a/src/siskinpass/platform/part_records.py
+++ b/src/siskinpass/platform/part_records.py
@@ -9,7 +9,7 @@
 from siskinpass.exceptions import FormatError
 from siskinpass.platform.fields import NUMBER, as_table, read_field
 from siskinpass.process.blocked_parts import BlockedParts
-from siskinpass.process.part_crashes import BrokenRequest
+from siskinpass.process.crash_evidence import BrokenRequest
 
 PARTS_KIND = 'siskinpass-prompt-parts'
 NAME_BYTES = 8
--- a/src/siskinpass/process/codec.py
+++ b/src/siskinpass/process/codec.py
@@ -166,7 +166,7 @@
         kind=packet.kind,
         sender=encode_member(packet.sender),
         sequence=packet.sequence,
-        news=[encode_member(member) for member in packet.news],
+        news=[encode_member(member) for member in packet.updates],
         target=packet.target,
     )
     return message.SerializeToString()
--- a/src/siskinpass/process/part_crashes.py
+++ b/src/siskinpass/process/crash_evidence.py
@@ -61,7 +61,7 @@
     ended_ms: int
 
 
-class PartCrashes:
+class CrashEvidence:
     """Requests that crashes cut off, as reported by all instances."""
 
     def __init__(self) -> None:
@@ -82,19 +82,19 @@
     def merge(
         self, requests: Iterable[BrokenRequest]
     ) -> tuple[BrokenRequest, ...]:
-        """Add reports and return those that were news."""
-        news = []
+        """Add reports and return those that were not known."""
+        added = []
         for request in requests:
             key = (request.server, request.call)
             if key not in self._requests:
                 self._requests[key] = request
                 self._by_server.setdefault(request.server, []).append(request)
                 self._suspect(request)
-                news.append(request)
+                added.append(request)
         while len(self._requests) > MAX_REQUESTS:
             _, oldest = self._requests.popitem(last=False)
             self._forget(oldest)
-        return tuple(news)
+        return tuple(added)
 
     def merge_cleared(
         self, cleared: Iterable[ClearedPart]
@@ -102,15 +102,15 @@
         """Clear parts of the crashes of single servers.
 
         :param cleared: names of a part and of a process that ended.
-        :returns: those that were news.
+        :returns: those that were not known.
         """
-        news = tuple(pair for pair in cleared if pair not in self._cleared)
-        self._cleared.update(dict.fromkeys(news))
-        for part, server in news:
+        added = tuple(pair for pair in cleared if pair not in self._cleared)
+        self._cleared.update(dict.fromkeys(added))
+        for part, server in added:
             self._drop(part, server)
         while len(self._cleared) > MAX_CLEARED:
             self._cleared.popitem(last=False)
-        return news
+        return added
 
     def explain(self, names: frozenset[str]) -> None:
         """Record that requests with all of some names crash servers."""
--- a/src/siskinpass/process/fleet/request_parts.py
+++ b/src/siskinpass/process/fleet/crash_check.py
@@ -1,17 +1,17 @@
-"""Judge the prompt parts of one request by what becomes of its attempts."""
+"""Check one request against known crashes, and judge its attempts."""
 
 import asyncio
 import time
 from functools import cached_property
 
-from siskinpass.process.fleet.answer import AttemptResult
-from siskinpass.process.fleet.part_guard import PartGuard
-from siskinpass.process.fleet.tickets import shared_part_names
-from siskinpass.process.part_crashes import (
+from siskinpass.process.crash_evidence import (
     BEGUN_WEIGHT,
     WAITING_WEIGHT,
     BrokenRequest,
 )
+from siskinpass.process.fleet.answer import AttemptResult
+from siskinpass.process.fleet.crash_guard import CrashGuard
+from siskinpass.process.fleet.tickets import shared_part_names
 from siskinpass.request.identity import request_identity
 from siskinpass.request.inbound import InboundRequest
 from siskinpass.request.ticket import ServerView
@@ -22,14 +22,14 @@
 SOUND_S = 0.5
 
 
-class RequestParts:
-    """What one request has in common with others, and with its repeats.
+class CrashCheck:
+    """Check of one request, by the names that it shares with others.
 
     :param guard: receives what the attempts show.
     :ivar parts: names of the prompt parts that other prompts may share.
     """
 
-    def __init__(self, guard: PartGuard, call: InboundRequest) -> None:
+    def __init__(self, guard: CrashGuard, call: InboundRequest) -> None:
         self._guard = guard
         self._call = call
         self._loop = asyncio.get_running_loop()
--- a/src/siskinpass/process/fleet/part_guard.py
+++ b/src/siskinpass/process/fleet/crash_guard.py
@@ -1,11 +1,11 @@
-"""Keep prompt parts that crash backend servers away from them.
-
-Each instance sees only its own requests end, so that instances tell each other
-which requests a crash cut off and which parts were in answers that went on.
-Whichever first knows enough asks the others whether they know better, blocks
-the part and tells them. Blocks, and requests that a crash cut off as their
-answers began, are also recorded in the store, for instances that start later or
-did not hear of them.
+"""Keep prompt parts and requests that crash backend servers away from them.
+
+Each instance sees only its own requests end, so that instances announce to each
+other which requests a crash cut off and which parts were in answers that went
+on. Whichever first knows enough asks the others whether they know better,
+blocks the part or the request and announces that. Blocks, and the most telling
+of the requests that crashes cut off, are also recorded in the store, for
+instances that start later or missed the announcements.
 """
 
 import asyncio
@@ -17,6 +17,12 @@
 from siskinpass.exceptions import ConnectError, RefusedError
 from siskinpass.process.background import BackgroundTasks
 from siskinpass.process.blocked_parts import BLOCK_S, BlockedParts, BlockList
+from siskinpass.process.crash_evidence import (
+    BEGUN_WEIGHT,
+    BrokenRequest,
+    ClearedPart,
+    CrashEvidence,
+)
 from siskinpass.process.fleet.fact_topics import (
     BLAMED,
     BLOCKED,
@@ -29,12 +35,6 @@
 from siskinpass.process.fleet.watch import Listed, StoreUnavailable, StoreUpdate
 from siskinpass.process.logs import ComponentLog
 from siskinpass.process.metrics import Metrics
-from siskinpass.process.part_crashes import (
-    BEGUN_WEIGHT,
-    BrokenRequest,
-    ClearedPart,
-    PartCrashes,
-)
 from siskinpass.request.identity import is_identity
 from siskinpass.request.isolation import SUSPICIOUS_CRASHES
 from siskinpass.request.ticket import ServerView
@@ -56,8 +56,8 @@
 OnBlocked = Callable[[Iterable[BlockedParts]], None]
 
 
-class PartGuard:
-    """Owner of what this instance knows about parts that crash servers.
+class CrashGuard:
+    """Owner of what this instance knows about what crashes servers.
 
     :param backends: connections, with which the end of a server is checked.
     :param store: where blocked parts are recorded.
@@ -80,7 +80,7 @@
         self._on_ended = on_ended
         self._metrics = metrics
         self._log = ComponentLog('parts')
-        self._crashes = PartCrashes()
+        self._crashes = CrashEvidence()
         self._blocks = BlockList()
         self._recorded: set[frozenset[str]] = set()
         self._probes: dict[str, asyncio.Task[bool]] = {}
@@ -209,18 +209,18 @@
         )
 
     def _merge(self, blocked: Iterable[BlockedParts]) -> None:
-        news = self._blocks.merge(blocked, time.time())
-        for one in news:
+        added = self._blocks.merge(blocked, time.time())
+        for one in added:
             self._crashes.explain(one.parts)
             self._log.note(
                 'Prompt parts are blocked.',
                 parts=sorted(one.parts),
                 asked_s=int(one.at_s),
             )
-        if news:
+        if added:
             self._metrics.set_state('blocked_parts', len(self.blocked))
             for listener in self._listeners:
-                listener(news)
+                listener(added)
 
     async def _check_server(
         self, request: BrokenRequest, server: ServerView
@@ -280,8 +280,8 @@
         self._add_broken(given)
 
     def _add_broken(self, requests: Iterable[BrokenRequest]) -> None:
-        news = self._crashes.merge(requests)
-        self._blame({part for request in news for part in request.parts})
+        added = self._crashes.merge(requests)
+        self._blame({part for request in added for part in request.parts})
 
     def _check_beside(self, cleared: tuple[ClearedPart, ...]) -> None:
         """Look again at the parts that were in prompts with cleared ones."""
--- a/src/siskinpass/process/fleet/fact_topics.py
+++ b/src/siskinpass/process/fleet/fact_topics.py
@@ -10,8 +10,8 @@
 from typing import Any, Generic, Protocol, TypeVar
 
 from siskinpass.process.blocked_parts import BlockedParts
+from siskinpass.process.crash_evidence import BrokenRequest, ClearedPart
 from siskinpass.process.fleet.server_limits import ServerLimit
-from siskinpass.process.part_crashes import BrokenRequest, ClearedPart
 from siskinpass.process.version_history import StreamBegun
 from siskinpass.request.ticket import ServerView
 
--- a/src/siskinpass/process/fleet/feed.py
+++ b/src/siskinpass/process/fleet/feed.py
@@ -20,7 +20,7 @@
 
 HEARTBEAT_S = 0.7
 # Updates that wait for a slow follower. One that is behind by more has to
-# follow anew.
+# follow again.
 MAX_WAITING = 256
 
 
@@ -43,7 +43,7 @@
 
     @property
     def is_fresh(self) -> bool:
-        """Return whether the store is heard, here or by a relaying reader."""
+        """Return whether the store answers, here or at a relaying reader."""
         return self._is_fresh
 
     def set_fresh(self, *, on: bool) -> None:
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -16,8 +16,8 @@
 from siskinpass.platform.headers import decode_call, encode_send
 from siskinpass.process.fleet.answer import AnswerReceiver, AttemptResult
 from siskinpass.process.fleet.assigner import Assigner
-from siskinpass.process.fleet.part_guard import PartGuard
-from siskinpass.process.fleet.request_parts import RequestParts
+from siskinpass.process.fleet.crash_check import CrashCheck
+from siskinpass.process.fleet.crash_guard import CrashGuard
 from siskinpass.process.fleet.stream_origin import StreamOrigin
 from siskinpass.process.fleet.stream_versions import StreamVersions
 from siskinpass.process.fleet.tickets import (
@@ -87,7 +87,7 @@
     may_retry: Callable[[str], bool]
     note_request: Callable[[str], None]
     on_notice: Callable[[ServerView, float, ServerNotice], None]
-    guard: PartGuard
+    guard: CrashGuard
     versions: StreamVersions
     log: ComponentLog = field(default_factory=lambda: ComponentLog('forward'))
 
@@ -144,7 +144,7 @@
         self._server: ServerView | None = None
         self._route_name = ''
         self._ticket: Ticket | None = None
-        self._parts = RequestParts(context.guard, self._call)
+        self._crash_check = CrashCheck(context.guard, self._call)
         self._origin = StreamOrigin(context.versions, self._call)
         self._receiver: AnswerReceiver | None = None
 
@@ -184,12 +184,14 @@
     def write(self, events: bytes) -> None:
         """Send complete events to the caller."""
         self._caller.write_piece(events)
-        self._parts.note_events()
+        self._crash_check.note_events()
 
     def stop_blocked(self) -> None:
         """Take the request back if its server would crash under it."""
-        is_waiting = self._receiver is not None and not self._parts.has_events
-        if is_waiting and self._parts.is_blocked:
+        is_waiting = (
+            self._receiver is not None and not self._crash_check.has_events
+        )
+        if is_waiting and self._crash_check.is_blocked:
             self._receiver.abort('its prompt crashes servers')
 
     async def _admit(self) -> None:
@@ -243,7 +245,7 @@
             self._context.metrics.retried(_RETRY_CODES[attempt_result.ending])
 
     async def _attempt(self, plan: '_Plan') -> AttemptResult:
-        await self._parts.admit()
+        await self._crash_check.admit()
         ticket = make_ticket(
             self._call,
             plan,
@@ -252,7 +254,7 @@
                 _now_s(),
                 self._avoid,
                 self._origin.version,
-                self._parts.crashes,
+                self._crash_check.crashes,
             ),
         )
         view = await self._context.assigner.acquire(ticket)
@@ -261,12 +263,12 @@
         self._log_grant(ticket, view)
         attempt_result = None
         try:
-            self._parts.check()
+            self._crash_check.check()
             attempt_result = await self._send(plan, ticket, view)
         finally:
             self._release(ticket, attempt_result)
         self._avoid = view.name
-        await self._parts.judge(
+        await self._crash_check.judge(
             attempt_result,
             view,
             is_listed=self._context.assigner.is_serving(view),
@@ -277,7 +279,7 @@
         self, ticket: Ticket, attempt_result: AttemptResult | None
     ) -> None:
         ending = attempt_result.ending if attempt_result else None
-        if self._parts.is_blocked:
+        if self._crash_check.is_blocked:
             # The prompt is at fault, not the server.
             ending = None
         self._context.assigner.release(
@@ -322,7 +324,7 @@
                 AttemptOutcome.unsent,
                 cause='too little time left for an attempt',
             )
-        self._parts.start_attempt()
+        self._crash_check.start_attempt()
         with self._cancel_on_exit(receiver):
             receiver.start(connection, encode_send(self._call, context))
             return await receiver.wait(
@@ -513,8 +515,8 @@
             cause=attempt_result.cause,
             status=attempt_result.head.status if attempt_result.head else 0,
             step=step.value,
-            request=self._parts.identity,
-            parts=self._parts.parts[:MAX_LOGGED_PARTS],
+            request=self._crash_check.identity,
+            parts=self._crash_check.parts[:MAX_LOGGED_PARTS],
             head_age_ms=(
                 None
                 if attempt_result.head_age_s is None
--- a/src/siskinpass/process/fleet/loads.py
+++ b/src/siskinpass/process/fleet/loads.py
@@ -126,7 +126,7 @@
         self._subscribers[topic] = receive
 
     def announce(self, topic: str, payload: Any) -> None:
-        """Tell the other instances now and once more a little later.
+        """Send a payload to the others, and once more a little later.
 
         :param payload: of types that JSON has, or a data class.
         """
--- a/src/siskinpass/process/fleet/members.py
+++ b/src/siskinpass/process/fleet/members.py
@@ -113,8 +113,8 @@
 
     @property
     def is_isolated(self) -> bool:
-        """Return whether no other instance has been heard for a while."""
-        silent_s = self._loop.time() - self.gossip.heard_s
+        """Return whether no heartbeat has arrived for a while."""
+        silent_s = self._loop.time() - self.gossip.received_s
         return silent_s > ISOLATED_S
 
     def sharing(self) -> Sharing:
@@ -285,7 +285,7 @@
             known = await self._read_members(channel)
         except PEER_ERRORS as error:
             self._log.routine(
-                'An instance did not tell its members.',
+                'An instance did not list its members.',
                 address=address,
                 cause=repr(error),
             )
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -14,6 +14,7 @@
 from siskinpass.process.broker import BrokerPolicy
 from siskinpass.process.fleet.assigner import Assigner
 from siskinpass.process.fleet.budgets import RetryBudgets
+from siskinpass.process.fleet.crash_guard import CrashGuard
 from siskinpass.process.fleet.fact_topics import LEAVING, LIMITS, STREAMS
 from siskinpass.process.fleet.feed import StateFeed
 from siskinpass.process.fleet.forward import ForwardContext, Forwarder
@@ -21,7 +22,6 @@
 from siskinpass.process.fleet.loads import LoadExchange
 from siskinpass.process.fleet.members import FleetMembers
 from siskinpass.process.fleet.notices import ServerNotices
-from siskinpass.process.fleet.part_guard import PartGuard
 from siskinpass.process.fleet.peers import FleetPeerService
 from siskinpass.process.fleet.policy import fleet_policy
 from siskinpass.process.fleet.reader import StoreReader
@@ -97,7 +97,7 @@
             self._assigner.set_peer_loads,
             self._assigner.record_placement,
         )
-        self._guard = PartGuard(
+        self._guard = CrashGuard(
             self._backends,
             self._store,
             self._loads,
@@ -173,7 +173,7 @@
         STREAMS.subscribe(self._loads, self._versions.receive)
         self._guard.subscribe(self._apply_blocked)
 
-    def _apply_blocked(self, news: Iterable[BlockedParts]) -> None:
+    def _apply_blocked(self, added: Iterable[BlockedParts]) -> None:
         self._feed.publish_blocked(self._guard.blocked)
         self._forwarder.stop_blocked()
 
--- a/src/siskinpass/process/fleet/part_records.py
+++ b/src/siskinpass/process/fleet/part_records.py
@@ -21,9 +21,9 @@
 )
 from siskinpass.process.background import BackgroundTasks
 from siskinpass.process.blocked_parts import BlockedParts
+from siskinpass.process.crash_evidence import BrokenRequest
 from siskinpass.process.fleet.store_client import StoreClient
 from siskinpass.process.logs import ComponentLog
-from siskinpass.process.part_crashes import BrokenRequest
 
 MS_PER_S = 1000
 WRITE_RETRY_S = 1.0
--- a/src/siskinpass/process/fleet/reader.py
+++ b/src/siskinpass/process/fleet/reader.py
@@ -12,8 +12,8 @@
 from siskinpass.platform.config import CONFIG_KIND
 from siskinpass.platform.part_records import PARTS_KIND
 from siskinpass.platform.servers import SERVERS_KIND
+from siskinpass.process.fleet.crash_guard import CrashGuard
 from siskinpass.process.fleet.feed import StateFeed
-from siskinpass.process.fleet.part_guard import PartGuard
 from siskinpass.process.fleet.settings import OperatorBounds
 from siskinpass.process.fleet.state import StoredState
 from siskinpass.process.fleet.store_client import StoreClient
@@ -29,7 +29,7 @@
 LINGER_S = 5.0
 # Kinds without which the state of an instance may be out of date.
 STATE_KINDS = frozenset((CONFIG_KIND, SERVERS_KIND))
-# Instances tell each other of parts that crash servers, so that a lost answer
+# Instances announce parts that crash servers, so that a lost answer
 # of this watch may be noticed late. The store lets a watch wait for up to 30 s.
 PARTS_WAIT_S = 29.0
 
@@ -45,7 +45,7 @@
         self,
         store: StoreClient,
         state: StoredState,
-        guard: PartGuard,
+        guard: CrashGuard,
         feed: StateFeed,
         operator_bounds: OperatorBounds,
     ) -> None:
@@ -58,7 +58,7 @@
             SERVERS_KIND: state.apply_servers,
             PARTS_KIND: guard.apply_store,
         }
-        self._heard: set[str] = set()
+        self._received: set[str] = set()
         self._users = 0
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_timer: asyncio.TimerHandle | None = None
@@ -95,7 +95,7 @@
         for task in self._tasks:
             task.cancel()
         self._tasks = []
-        self._heard.clear()
+        self._received.clear()
         self._feed.set_fresh(on=False)
 
     def _watch(self, kind: str) -> KindWatch:
@@ -111,11 +111,11 @@
 
     def _receive(self, kind: str, update: StoreUpdate) -> None:
         if isinstance(update, StoreUnavailable):
-            self._heard.discard(kind)
+            self._received.discard(kind)
         else:
-            self._heard.add(kind)
+            self._received.add(kind)
         self._apply[kind](update)
-        self._feed.set_fresh(on=self._heard >= STATE_KINDS)
+        self._feed.set_fresh(on=self._received >= STATE_KINDS)
 
 
 def _parts_wait_s() -> float:
--- a/src/siskinpass/process/fleet/roles.py
+++ b/src/siskinpass/process/fleet/roles.py
@@ -59,7 +59,7 @@
 def all_serving_members(members: Iterable[Member]) -> list[Member]:
     """Return the members that callers in any zone should use.
 
-    They tell each other their loads, so that their number has to be bounded.
+    They report their loads to each other, so that their number is bounded.
     """
     given = tuple(members)
     zones = {member.zone for member in given}
--- a/src/siskinpass/process/fleet/source.py
+++ b/src/siskinpass/process/fleet/source.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass
 
 from siskinpass.process import peer_pb2 as pb
+from siskinpass.process.fleet.crash_guard import CrashGuard
 from siskinpass.process.fleet.feed import StateFeed, decode_update
 from siskinpass.process.fleet.members import FleetMembers
-from siskinpass.process.fleet.part_guard import PartGuard
 from siskinpass.process.fleet.reader import StoreReader
 from siskinpass.process.fleet.roles import reader_order, readers
 from siskinpass.process.fleet.state import StoredState
@@ -51,7 +51,7 @@
     reader: StoreReader
     state: StoredState
     feed: StateFeed
-    guard: PartGuard
+    guard: CrashGuard
     small_fleet: int
 
 
--- a/src/siskinpass/process/fleet/stream_versions.py
+++ b/src/siskinpass/process/fleet/stream_versions.py
@@ -175,7 +175,7 @@
         now_s = time.time()
         given = tuple(facts)
         self._history.streams.merge(given, now_s)
-        # A version of which this instance has not heard may serve already.
+        # A version that this instance does not know may serve already.
         self._history.served.merge(
             (VersionServed(one.service, one.version, now_s) for one in given),
             now_s,
--- a/src/siskinpass/process/fleet/tickets.py
+++ b/src/siskinpass/process/fleet/tickets.py
@@ -11,7 +11,7 @@
 
 MAX_URGENCY = 9
 KEY_BYTES = 8
-# Limits of what instances tell each other of a prompt.
+# Limits of what instances announce of a prompt.
 MAX_NAME_LENGTH = 64
 MAX_NAMED_PARTS = 32
 # A request waits for a server for at most this fraction of its remaining time.
--- a/src/siskinpass/process/gossip.py
+++ b/src/siskinpass/process/gossip.py
@@ -30,7 +30,7 @@
 class Gossip(asyncio.DatagramProtocol):
     """Transport of the membership protocol over a datagram socket.
 
-    :ivar heard_s: when a heartbeat last arrived, on the event loop's clock.
+    :ivar received_s: when a heartbeat last arrived, on the event loop's clock.
     """
 
     def __init__(
@@ -52,7 +52,7 @@
         self._loop = asyncio.get_running_loop()
         self._live: tuple[Member, ...] = ()
         self._log = ComponentLog('member')
-        self.heard_s = self._loop.time()
+        self.received_s = self._loop.time()
         self.bytes_sent = 0
         self.packets_sent = 0
 
@@ -74,7 +74,7 @@
             packet = decode_packet(body)
         except DecodeError:
             return
-        self.heard_s = self._loop.time()
+        self.received_s = self._loop.time()
         self._apply(PacketArrived(packet))
 
     def set_seeds(self, members: tuple[Member, ...]) -> None:
--- a/src/siskinpass/process/known_servers.py
+++ b/src/siskinpass/process/known_servers.py
@@ -99,7 +99,7 @@
     def apply_relayed(self, views: Iterable[ServerView], now_s: float) -> None:
         """Update the servers from the list of another instance.
 
-        That instance may not have heard yet that a server was removed.
+        That instance may not know yet that a server was removed.
         """
         self._mark_reachable(now_s)
         self._trust_from_s = now_s + ENTRY_EXPIRY_S
--- a/src/siskinpass/process/membership.py
+++ b/src/siskinpass/process/membership.py
@@ -25,7 +25,7 @@
     :param suspect_timeout_s: time after which a suspect is declared dead.
     :param forget_after_s: time after which a dead member is removed.
     :param indirect_probes: number of other members that are asked to probe.
-    :param news: maximum number of member states piggybacked on a packet, not
+    :param updates: maximum number of member states piggybacked on a packet, not
         counting the state of its receiver.
     """
 
@@ -36,7 +36,7 @@
     suspect_timeout_s: float = 0.8
     forget_after_s: float = 60.0
     indirect_probes: int = 2
-    news: int = 6
+    updates: int = 6
 
 
 ALIVE = 0
@@ -89,7 +89,7 @@
     :param kind: ``ping``, ``ack``, or ``ask`` for an indirect probe.
     :param sender: the sender's own state.
     :param sequence: matches an ack to its probe; 0 if the ack is not awaited.
-    :param news: states of other members.
+    :param updates: states of other members.
     :param target: for an ``ask``, the member to probe; for an ``ack``, the
         member that answered an indirect probe, empty for the sender itself.
     """
@@ -97,7 +97,7 @@
     kind: str
     sender: Member
     sequence: int
-    news: tuple[Member, ...] = ()
+    updates: tuple[Member, ...] = ()
     target: str = ''
 
 
@@ -264,7 +264,7 @@
     @_apply_event.register
     def _handle_packet(self, event: PacketArrived) -> None:
         packet = event.packet
-        self._merge_all((packet.sender, *packet.news))
+        self._merge_all((packet.sender, *packet.updates))
         if packet.kind == 'ping':
             self._send(packet.sender, 'ack', packet.sequence)
         elif packet.kind == 'ask':
@@ -438,11 +438,11 @@
         target: str = '',
     ) -> None:
         packet = Packet(
-            kind, self._own, sequence, self._select_news(receiver), target
+            kind, self._own, sequence, self._select_updates(receiver), target
         )
         self._outgoing.append(SendPacket(receiver.peer_address, packet))
 
-    def _select_news(self, receiver: Member) -> tuple[Member, ...]:
+    def _select_updates(self, receiver: Member) -> tuple[Member, ...]:
         """Return the member states that were sent least often since a change.
 
         States that were sent ``UPDATE_REPEATS`` times are left out. A suspect
@@ -457,7 +457,7 @@
             ),
             key=lambda entry: entry.repeats_left,
             reverse=True,
-        )[: self._policy.news]
+        )[: self._policy.updates]
         for entry in selected:
             entry.repeats_left -= 1
         reports = [entry.member for entry in selected]
--- a/tests/test_part_crashes.py
+++ b/tests/test_crash_evidence.py
@@ -14,13 +14,13 @@
     BlockedParts,
     BlockList,
 )
-from siskinpass.process.part_crashes import (
+from siskinpass.process.crash_evidence import (
     BEGUN_WEIGHT,
     MAX_REQUESTS,
     REQUEST_CRASHES,
     WAITING_WEIGHT,
     BrokenRequest,
-    PartCrashes,
+    CrashEvidence,
 )
 from siskinpass.request.identity import PREFIX
 
@@ -57,7 +57,7 @@
     )
     def test_number_of_crashes(self, crashes, weight, is_blamed):
         """Fewer are needed if the answers had begun."""
-        known = PartCrashes()
+        known = CrashEvidence()
         known.merge(
             broken(number, BAD, f'p{number}', weight=weight)
             for number in range(crashes)
@@ -70,7 +70,7 @@
     )
     def test_one_request_in_all_crashes(self, crashes, is_blamed):
         """A request that comes again is blamed before any of its parts."""
-        known = PartCrashes()
+        known = CrashEvidence()
         known.merge(
             broken(number, REQUEST, 'sys', weight=WAITING_WEIGHT)
             for number in range(crashes)
@@ -81,7 +81,7 @@
 
     def test_requests_beside_it_are_not_blamed(self):
         """Each crash may cut off others that have nothing in common."""
-        known = PartCrashes()
+        known = CrashEvidence()
         for number in range(REQUEST_CRASHES):
             beside = f'{REQUEST}-{number}'
             for name in (REQUEST, beside):
@@ -92,7 +92,7 @@
     @pytest.mark.parametrize('is_explained', [False, True])
     def test_crashes_that_others_explain(self, is_explained):
         """Sound parts beside two causes of crashes are not blamed for both."""
-        known = PartCrashes()
+        known = CrashEvidence()
         known.merge([
             broken(1, BAD, 'subject'),
             broken(2, BAD, 'subject'),
@@ -106,7 +106,7 @@
 
     def test_answered_request_is_not_blamed(self):
         """An answer shows that none of the crashes before was its fault."""
-        known = PartCrashes()
+        known = CrashEvidence()
         for number in range(2 * REQUEST_CRASHES):
             known.merge([broken(number, REQUEST, weight=WAITING_WEIGHT)])
             known.clear([REQUEST] if number % 2 else ())
@@ -114,7 +114,7 @@
 
     def test_servers_that_end_together_count_once(self):
         """Requests that were open at the same time show nothing more."""
-        known = PartCrashes()
+        known = CrashEvidence()
         known.merge(
             broken(5, BAD, sent_ms=sent_ms, server=f'i-{sent_ms}')
             for sent_ms in range(10)
@@ -123,13 +123,13 @@
 
     def test_one_crash_of_many_requests_counts_once(self):
         """A server's end counts once, however many requests it cut off."""
-        known = PartCrashes()
+        known = CrashEvidence()
         known.merge(broken(1, BAD, f'p{number}') for number in range(9))
         assert not known.blamed(BAD)
 
     def test_answer_that_goes_on_clears_its_parts(self):
         """Earlier crashes no longer speak against them, later ones do."""
-        known = PartCrashes()
+        known = CrashEvidence()
         known.merge(broken(number, 'sys') for number in range(2))
         assert known.clear(('sys', 'other')) == (('sys', 'i-0'), ('sys', 'i-1'))
         assert not known.clear(('sys',))
@@ -140,7 +140,7 @@
 
     def test_parts_in_all_prompts_are_blamed_together(self):
         """A prompt with only one of them is not to blame."""
-        known = PartCrashes()
+        known = CrashEvidence()
         known.merge(
             broken(number, 'sys', BAD, f'p{number}') for number in range(3)
         )
@@ -154,7 +154,7 @@
 
     def test_memory_is_bounded(self):
         """The oldest crashes are forgotten."""
-        known = PartCrashes()
+        known = CrashEvidence()
         known.merge(broken(number, BAD) for number in range(3))
         known.merge(
             broken(number + 3, f'p{number}') for number in range(MAX_REQUESTS)
@@ -171,7 +171,7 @@
         ]
         cleared = [('sys', 'i-1'), (BAD, 'i-2')]
         repeated = data.draw(st.sampled_from(range(8)))
-        first, second = PartCrashes(), PartCrashes()
+        first, second = CrashEvidence(), CrashEvidence()
         for known, numbers in (
             (first, range(8)),
             (second, (*order, repeated)),
@@ -261,7 +261,7 @@
     def __init__(self, instances, loss, rng):
         self._rng = rng
         self._loss = loss
-        self._known = [PartCrashes() for _ in range(instances)]
+        self._known = [CrashEvidence() for _ in range(instances)]
         self._blocks = [BlockList() for _ in range(instances)]
         self.crashes = 0
         self.sent = 0
@@ -269,7 +269,7 @@
     def restart(self):
         """Restart one instance, which reads the blocks from the store."""
         number = self._rng.randrange(len(self._known))
-        self._known[number] = PartCrashes()
+        self._known[number] = CrashEvidence()
 
     def ask(self, now_ms, parts):
         """Handle one request at a random instance; return whether it ran."""
--- a/tests/test_part_guard.py
+++ b/tests/test_crash_guard.py
@@ -20,11 +20,11 @@
     record_name,
 )
 from siskinpass.process.blocked_parts import BLOCK_S, BlockedParts
-from siskinpass.process.fleet import part_guard, part_records
+from siskinpass.process.crash_evidence import BEGUN_WEIGHT, BrokenRequest
+from siskinpass.process.fleet import crash_guard, part_records
 from siskinpass.process.fleet.fact_topics import CLEARED
 from siskinpass.process.fleet.watch import Listed
 from siskinpass.process.metrics import Metrics
-from siskinpass.process.part_crashes import BEGUN_WEIGHT, BrokenRequest
 from siskinpass.request.ticket import ServerView
 
 BAD = 'bad'
@@ -107,7 +107,7 @@
         self.ended = []
         self.ports = [Port(self, number) for number in range(count)]
         self.guards = [
-            part_guard.PartGuard(
+            crash_guard.CrashGuard(
                 backends or Backends(),
                 store,
                 port,
@@ -173,7 +173,7 @@
 @pytest.fixture(autouse=True)
 def _short_waits(monkeypatch):
     for module, name in (
-        (part_guard, 'CONTEST_S'),
+        (crash_guard, 'CONTEST_S'),
         (part_records, 'RECORD_DELAY_S'),
         (part_records, 'RECORD_AGAIN_S'),
     ):
@@ -184,7 +184,7 @@
 async def settle(waits=2):
     """Wait until all that is under way is decided and recorded."""
     await asyncio.sleep(
-        waits * part_records.RECORD_DELAY_S + part_guard.CONTEST_S + 0.1
+        waits * part_records.RECORD_DELAY_S + crash_guard.CONTEST_S + 0.1
     )
 
 
@@ -199,7 +199,7 @@
             bus.lost.add(CLEARED.name)
             for number in range(1, 4):
                 report(bus.guards[0], *crash(number, SYS, BAD))
-                await asyncio.sleep(2 * part_guard.CLOSE_DELAY_S)
+                await asyncio.sleep(2 * crash_guard.CLOSE_DELAY_S)
                 bus.guards[1].clear((SYS, 'other'))
             bus.lost.clear()
             report(bus.guards[0], *crash(4, SYS))
@@ -255,7 +255,7 @@
             guard = Bus(1, Store()).guards[0]
             for number in range(1, 4):
                 report(guard, *crash(number, BAD))
-            await asyncio.sleep(1.5 * part_guard.CLOSE_DELAY_S)
+            await asyncio.sleep(1.5 * crash_guard.CLOSE_DELAY_S)
             await asyncio.wait_for(guard.admit((SYS, 'x')), 0.01)
             with pytest.raises(RefusedError):
                 await guard.admit((SYS, BAD))
@@ -274,7 +274,7 @@
             guard = Bus(1, store).guards[0]
             report(guard, *crash(1, SYS, BAD))
             report(guard, *crash(2, SYS))
-            await asyncio.sleep(1.5 * part_guard.CLOSE_DELAY_S)
+            await asyncio.sleep(1.5 * crash_guard.CLOSE_DELAY_S)
             guard.clear((SYS,))
             await settle()
             return store.broken_parts
--- a/tests/test_facts.py
+++ b/tests/test_facts.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from siskinpass.process.blocked_parts import BlockedParts
+from siskinpass.process.crash_evidence import BrokenRequest
 from siskinpass.process.facts import (
     FactTable,
     is_current,
@@ -18,7 +19,6 @@
 )
 from siskinpass.process.fleet import fact_topics
 from siskinpass.process.fleet.server_limits import ServerLimit
-from siskinpass.process.part_crashes import BrokenRequest
 from siskinpass.process.version_history import (
     STREAM_LIFE_S,
     StreamBegun,
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -17,8 +17,8 @@
 from siskinpass.platform.servers import decode_server
 from siskinpass.platform.settings_file import decode_settings
 from siskinpass.process.blocked_parts import BlockedParts
+from siskinpass.process.crash_evidence import BrokenRequest
 from siskinpass.process.membership import Member
-from siskinpass.process.part_crashes import BrokenRequest
 from siskinpass.version.routes import RepeatPolicy
 
 SETTINGS = """
