Distrust what was known of versions after a process stood still

By reading: an instance that was frozen while another version began to serve may have lost the announcements, and takes an unknown stream for one of the version it knows.

--- a/src/siskinpass/process/fleet/stream_versions.py
+++ b/src/siskinpass/process/fleet/stream_versions.py
@@ -43,6 +43,8 @@
 LOOKUP_AGAIN_S = 0.3
 LOOKUPS = 2
 RETRY_AFTER_S = 0.5
+# A process that did not run for so long may have missed announcements.
+MAX_GAP_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +87,7 @@
         self._sources = sources
         self._metrics = metrics
         self._is_complete = is_first_start
+        self._refreshed_s = time.time()
         self._history = VersionHistory()
         # Streams of this instance that are open or have broken off.
         self._streams: FactTable[StreamBegun] = FactTable(MAX_STREAMS)
@@ -121,6 +124,8 @@
 
         Has to be called several times in the life of a stream.
         """
+        self._check_gap()
+        self._refreshed_s = time.time()
         for fact in self._history.note_served(self._listed, time.time()):
             self._background.start(self._record_version(fact))
         self._expire()
@@ -191,9 +196,17 @@
         if self._mixed:
             self._has_unrecorded.set()
 
+    def _check_gap(self) -> None:
+        """Distrust what was known before this process stood still."""
+        gap_s = time.time() - self._refreshed_s
+        if gap_s > MAX_GAP_S and self._is_complete:
+            self._is_complete = False
+            self._log.note('Missed some time.', gap_s=round(gap_s, 3))
+
     def _find(
         self, stream: str, services: tuple[str, ...]
     ) -> StreamBegun | None:
+        self._check_gap()
         return self._history.origin(
             stream,
             services,
@@ -292,6 +305,7 @@
         self._history.streams.merge(streams, now_s)
         self._history.served.merge(versions, now_s)
         self._is_complete = True
+        self._refreshed_s = now_s
         self._log.note(
             'Read the records of streams.',
             streams=len(streams),
