Keep one way to write, read and remove records

Refactoring: the records of crashes and of streams each had their own creation or replacement, removal and reading with logs.

--- a/src/siskinpass/platform/stream_records.py
+++ b/src/siskinpass/platform/stream_records.py
@@ -1,6 +1,7 @@
 """Translate the store's records about streams and software versions."""
 
 import hashlib
+import time
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -54,13 +55,12 @@
     return {WRITTEN: now_s, STREAMS: rows}
 
 
-def decode_stream_record(name: str, body: Any, now_s: float) -> StreamRecord:
+def decode_stream_record(name: str, body: Any) -> StreamRecord:
     """Return what a stored record describes.
 
     The record of a version stays until the version no longer serves; it counts
     as of now.
 
-    :param now_s: Unix time.
     :raises FormatError: if a field is missing or of the wrong type.
     """
     table = as_table(body, name)
@@ -68,7 +68,7 @@
         return VersionServed(
             read_field(table, SERVICE, str),
             read_field(table, VERSION, str),
-            now_s,
+            time.time(),
         )
     written_s = read_field(table, WRITTEN, NUMBER)
     rows = read_field(table, STREAMS, list)
--- a/src/siskinpass/process/fleet/part_records.py
+++ b/src/siskinpass/process/fleet/part_records.py
@@ -1,16 +1,11 @@
-"""Records about prompt parts that crash servers, in the store."""
+"""Records about prompt parts and requests that crash servers, in the store."""
 
 import asyncio
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import replace
-from typing import Any
 
-from siskinpass.exceptions import (
-    FormatError,
-    StoreConflictError,
-    StoreError,
-)
+from siskinpass.exceptions import StoreError
 from siskinpass.platform.objects import StoredObject
 from siskinpass.platform.part_records import (
     PARTS_KIND,
@@ -19,9 +14,9 @@
     encode_record,
     record_name,
 )
-from siskinpass.process.background import BackgroundTasks
 from siskinpass.process.blocked_parts import BlockedParts
 from siskinpass.process.crash_evidence import BrokenRequest
+from siskinpass.process.fleet.records import Records
 from siskinpass.process.fleet.store_client import StoreClient
 from siskinpass.process.logs import ComponentLog
 
@@ -38,9 +33,8 @@
     """Writer and reader of the records."""
 
     def __init__(self, store: StoreClient) -> None:
-        self._store = store
         self._log = ComponentLog('parts')
-        self._background = BackgroundTasks()
+        self._records = Records(store, PARTS_KIND, self._log)
 
     async def write_suspects(
         self,
@@ -62,7 +56,7 @@
         await asyncio.sleep(RECORD_AGAIN_S)
         remaining = suspects(request)
         if not remaining:
-            await self._remove(record_name(request))
+            await self._records.remove(record_name(request))
         elif remaining != parts:
             await self.write(replace(request, parts=remaining))
 
@@ -71,10 +65,15 @@
         while not await self._try_record(record):
             await asyncio.sleep(WRITE_RETRY_S)
 
+    def read(self, stored: StoredObject) -> Iterable[PartRecord]:
+        """Return the record of an object; an expired one is removed."""
+        record = self._records.read(stored, decode_record, _is_current)
+        return () if record is None else (record,)
+
     async def _try_record(self, record: PartRecord) -> bool:
         name, body = record_name(record), encode_record(record)
         try:
-            await self._write(name, body)
+            await self._records.write(name, body)
         except StoreError as error:
             self._log.warn(
                 'Prompt parts are not recorded yet.',
@@ -84,38 +83,9 @@
             return False
         return True
 
-    async def _write(self, name: str, body: dict[str, Any]) -> None:
-        try:
-            await self._store.create(PARTS_KIND, name, body)
-        except StoreConflictError:
-            await self._store.replace(PARTS_KIND, name, body)
-
-    async def _remove(self, name: str) -> None:
-        try:
-            await self._store.delete(PARTS_KIND, name)
-        except StoreError as error:
-            self._log.warn(
-                'An expired record stays.', record=name, cause=str(error)
-            )
-
-    def read(self, stored: StoredObject) -> Iterable[PartRecord]:
-        """Return the record of an object; an expired one is removed."""
-        try:
-            record = decode_record(stored.name, stored.body)
-        except FormatError as error:
-            self._log.warn(
-                'Ignored an unreadable record of prompt parts.',
-                record=stored.name,
-                cause=str(error),
-            )
-            return
-        if _is_current(record, time.time()):
-            yield record
-        else:
-            self._background.start(self._remove(stored.name))
-
 
-def _is_current(record: PartRecord, now_s: float) -> bool:
+def _is_current(record: PartRecord) -> bool:
+    now_s = time.time()
     if isinstance(record, BlockedParts):
         return record.is_current(now_s)
     return now_s - record.ended_ms / MS_PER_S < EVIDENCE_S
