Record what began a stream before its first event is sent (LOST)

After a failed write nothing waits. Refused take-ups are told to come back after 3 s: what is recorded later cannot be about their streams. test_streams_that_have_just_begun_outlive_a_loss_of_power failed before.

--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -46,7 +46,7 @@
 # share of the servers' limits.
 RETRY_ELSEWHERE_S = 1.0
 # The same where no server has the software version that a stream needs.
-RETRY_GONE_S = 1.0
+RETRY_GONE_S = 3.0
 # The same for a request under which servers have ended: others start meanwhile.
 RETRY_SUSPECT_S = 1.0
 
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -19,6 +19,7 @@
 from siskinpass.process.fleet.crash_check import CrashCheck
 from siskinpass.process.fleet.crash_guard import CrashGuard
 from siskinpass.process.fleet.stream_origin import StreamOrigin
+from siskinpass.process.fleet.stream_output import StreamOutput
 from siskinpass.process.fleet.stream_versions import StreamVersions
 from siskinpass.process.fleet.tickets import (
     Attempt,
@@ -146,6 +147,7 @@
         self._ticket: Ticket | None = None
         self._crash_check = CrashCheck(context.guard, self._call)
         self._origin = StreamOrigin(context.versions, self._call)
+        self._output = StreamOutput(caller)
         self._receiver: AnswerReceiver | None = None
 
     async def run(self) -> None:
@@ -178,12 +180,11 @@
             self._ticket = None
         if not self._has_begun:
             self._has_begun = True
-            self._origin.begin(self._server)
-            self._caller.start_stream(head.status, head.headers)
+            self._output.start(head, self._origin.begin(self._server))
 
     def write(self, events: bytes) -> None:
         """Send complete events to the caller."""
-        self._caller.write_piece(events)
+        self._output.write(events)
         self._crash_check.note_events()
 
     def stop_blocked(self) -> None:
@@ -383,7 +384,7 @@
 
     def _deliver(self, plan: '_Plan', attempt_result: AttemptResult) -> None:
         if self._has_begun:
-            self._caller.end_stream()
+            self._output.end()
             self._origin.end()
         else:
             self._caller.answer(
@@ -455,7 +456,7 @@
 
     def _cut(self, code: Code) -> None:
         self._record_failure(STREAM_CUT, code)
-        self._caller.truncate_stream()
+        self._output.truncate()
 
     def _refuse(self, code: Code, retry_after_ms: int = 0) -> None:
         meaning = MEANINGS[code]
--- a/src/siskinpass/process/fleet/stream_origin.py
+++ b/src/siskinpass/process/fleet/stream_origin.py
@@ -1,5 +1,7 @@
 """Keep one request's stream at the software version that began it."""
 
+import asyncio
+
 from siskinpass.process.fleet.stream_versions import StreamVersions
 from siskinpass.request.inbound import InboundRequest
 from siskinpass.request.ticket import ServerView
@@ -34,11 +36,15 @@
         self.version = origin.version
         return origin.service if origin.service in route.services else service
 
-    def begin(self, server: ServerView) -> None:
-        """Record that the first event of this request is sent on."""
-        if self._is_resumable:
-            self.version = server.version
-            self._versions.begin(self._stream, server)
+    def begin(self, server: ServerView) -> asyncio.Future[None] | None:
+        """Record what brings the first event of this request.
+
+        :returns: done when it is recorded, ``None`` if no record is needed.
+        """
+        if not self._is_resumable:
+            return None
+        self.version = server.version
+        return self._versions.begin(self._stream, server)
 
     def end(self) -> None:
         """Record that the stream was sent to its end."""
--- a/src/siskinpass/process/fleet/stream_versions.py
+++ b/src/siskinpass/process/fleet/stream_versions.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import astuple, dataclass
 
 from siskinpass.codes import Code
@@ -30,9 +30,10 @@
 from siskinpass.request.ticket import ServerView
 
 MS_PER_S = 1000
-# Streams that begin within this time are announced, and recorded, together.
+# Streams that begin within this time are announced together.
 ANNOUNCE_S = 0.05
-RECORD_S = 0.2
+# Least time between two writes of the record.
+RECORD_S = 0.05
 WRITE_RETRY_S = 1.0
 # Instances that record a version, and remove its record when it has ended.
 RECORDERS = 2
@@ -42,7 +43,8 @@
 # instance may not have recorded it yet.
 LOOKUP_AGAIN_S = 0.3
 LOOKUPS = 2
-RETRY_AFTER_S = 0.5
+# Nothing that is recorded later can be about this stream.
+RETRY_AFTER_S = 3.0
 # A process that did not run for so long may have missed announcements.
 MAX_GAP_S = 1.5
 
@@ -96,9 +98,11 @@
         self._mixed: frozenset[str] = frozenset()
         self._era = 0
         self._has_unrecorded = asyncio.Event()
+        self._is_failing = False
         self._lookup: asyncio.Task[None] | None = None
         self._background = BackgroundTasks()
         self._loop = asyncio.get_running_loop()
+        self._next_write: asyncio.Future[None] = self._loop.create_future()
         self._log = ComponentLog('versions')
 
     async def run(self) -> None:
@@ -107,9 +111,9 @@
             await self._look_up()
         while True:
             await self._has_unrecorded.wait()
-            await asyncio.sleep(RECORD_S)
             self._has_unrecorded.clear()
             await self._record_streams()
+            await asyncio.sleep(RECORD_S)
 
     def list_servers(self, views: Iterable[ServerView]) -> None:
         """Replace the listed servers."""
@@ -132,18 +136,24 @@
         self._update_mixed()
         self._check_era()
 
-    def begin(self, call_id: str, server: ServerView) -> None:
-        """Record that the first event of a stream is sent to its caller.
+    def begin(
+        self, call_id: str, server: ServerView
+    ) -> asyncio.Future[None] | None:
+        """Record what brings the first event of a stream.
 
-        :param call_id: the caller's attempt that brings the first event.
+        :param call_id: the caller's attempt that the event is for.
+        :returns: done when the store has the record or has failed; ``None`` if
+            nothing has to be recorded, or the store has just failed.
         """
         stream = stream_name(call_id)
         now_s = time.time()
         fact = StreamBegun(stream, server.pool, server.version, now_s)
         self._streams.merge((fact,), now_s)
         self._history.streams.merge((fact,), now_s)
-        if server.pool in self._mixed:
-            self._publish((fact,))
+        if server.pool not in self._mixed:
+            return None
+        self._publish((fact,))
+        return None if self._is_failing else self._next_write
 
     def end(self, call_id: str) -> None:
         """Record that a stream was sent to its end."""
@@ -238,7 +248,9 @@
         if ended and not mixed:
             self._background.start(self._records.remove_streams())
 
-    def _publish(self, streams: Iterable[StreamBegun]) -> None:
+    def _publish(self, streams: Sequence[StreamBegun]) -> None:
+        if not streams:
+            return
         if not self._unannounced:
             self._loop.call_later(ANNOUNCE_S, self._announce)
         self._unannounced.extend(streams)
@@ -254,14 +266,20 @@
             for one in self._streams.current(time.time())
             if one.service in self._mixed
         ]
+        written, self._next_write = self._next_write, self._loop.create_future()
         try:
             await self._records.write_streams(streams)
         except StoreError as error:
+            self._is_failing = True
             self._log.warn(
                 'Streams are not recorded yet.',
                 streams=len(streams),
                 cause=str(error),
             )
+        else:
+            self._is_failing = False
+        written.set_result(None)
+        if self._is_failing:
             self._has_unrecorded.set()
             await asyncio.sleep(WRITE_RETRY_S)
 
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -143,7 +143,8 @@
         async def scenario():
             store = Store()
             written_s = time.time() - age_s
-            store.records['streams-x'] = encode_streams([STREAM], written_s)
+            body = orjson.dumps(encode_streams([STREAM], written_s))
+            store.records['streams-x'] = orjson.loads(body)
             streams, _ = await StreamRecords(store, 'front-1').load()
             await asyncio.sleep(0.01)
             return len(streams), len(store.records)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -67,14 +67,14 @@
     )
 
 
-async def begin_streams(fleet):
+async def begin_streams(fleet, events=BEGUN):
     """Begin streams at all instances, which break off; return their events."""
     names = sorted(fleet.processes)
     calls = [f'call-{number}' for number in range(STREAMS)]
     begun = await asyncio.gather(
         *(
             fleet.read_events(
-                '/stream/x', BEGUN, name=names[number % len(names)], call=call
+                '/stream/x', events, name=names[number % len(names)], call=call
             )
             for number, call in enumerate(calls)
         )
@@ -139,6 +139,17 @@
 
         run_scenario(scenario, servers=0, instances=4, small_fleet=small_fleet)
 
+    def test_streams_that_have_just_begun_outlive_a_loss_of_power(self):
+        """Whoever has an event can take the stream up."""
+
+        async def scenario(fleet):
+            await add_versions(fleet, {'a': 2, 'b': 2})
+            begun = await begin_streams(fleet, 1)
+            await fleet.restart_all()
+            assert await take_up_all(fleet, begun) == (0, STREAMS)
+
+        run_scenario(scenario, servers=0, instances=2)
+
     def test_take_up_of_a_version_that_has_left(self):
         """It is refused as not run, with a time to come back."""
 
