Log unreadable listings of stream records, and expire facts without a full pass

Found by reading: a listing that cannot be decoded ended the lookup without a log line, and each tick looked at every known stream, up to 20,000.

--- a/src/siskinpass/process/facts.py
+++ b/src/siskinpass/process/facts.py
@@ -14,6 +14,7 @@
 from collections.abc import Hashable, Iterable
 from dataclasses import replace
 from functools import singledispatch
+from itertools import takewhile
 from typing import Generic, Protocol, TypeVar
 
 
@@ -104,9 +105,15 @@
         self._facts.pop(subject, None)
 
     def expire(self, now_s: float) -> tuple[FactT, ...]:
-        """Remove the expired facts and return them."""
+        """Remove expired facts, up to the first current one; return them.
+
+        They are ordered by their renewal, so that few expired ones stay, which
+        the other methods ignore.
+        """
         expired = tuple(
-            fact for fact in self._facts.values() if not is_current(fact, now_s)
+            takewhile(
+                lambda fact: not is_current(fact, now_s), self._facts.values()
+            )
         )
         for fact in expired:
             self.drop(subject_of(fact))
--- a/src/siskinpass/process/fleet/stream_versions.py
+++ b/src/siskinpass/process/fleet/stream_versions.py
@@ -12,7 +12,7 @@
 from dataclasses import astuple, dataclass
 
 from siskinpass.codes import Code
-from siskinpass.exceptions import RefusedError, StoreError
+from siskinpass.exceptions import FormatError, RefusedError, StoreError
 from siskinpass.process.background import BackgroundTasks
 from siskinpass.process.facts import FactTable
 from siskinpass.process.fleet.stream_records import StreamRecords
@@ -314,7 +314,7 @@
     async def _load(self) -> None:
         try:
             streams, versions = await self._records.load()
-        except StoreError as error:
+        except (StoreError, FormatError) as error:
             self._log.warn(
                 'The records of streams cannot be read.', cause=str(error)
             )
