--- a/src/siskinpass/process/crash_evidence.py
+++ b/src/siskinpass/process/crash_evidence.py
@@ -70,7 +70,7 @@
         )
         self._cleared: OrderedDict[ClearedPart, None] = OrderedDict()
         self._by_server: dict[str, list[BrokenRequest]] = {}
-        self._explanations: set[frozenset[str]] = set()
+        self._explanations: frozenset[frozenset[str]] = frozenset()
         # By part and server, without what was cleared.
         self._suspected: dict[str, dict[str, list[BrokenRequest]]] = {}
 
@@ -112,9 +112,12 @@
             self._cleared.popitem(last=False)
         return added
 
-    def explain(self, names: frozenset[str]) -> None:
-        """Record that requests with all of some names crash servers."""
-        self._explanations.add(names)
+    def explain(self, blocked: Iterable[frozenset[str]]) -> None:
+        """Replace what is known to crash servers.
+
+        :param blocked: names that crash servers if a request has all of them.
+        """
+        self._explanations = frozenset(blocked)
 
     def clear(self, parts: Iterable[str]) -> tuple[ClearedPart, ...]:
         """Clear parts of all crashes known so far, as an answer went on.
--- a/src/siskinpass/process/fleet/crash_guard.py
+++ b/src/siskinpass/process/fleet/crash_guard.py
@@ -211,13 +211,13 @@
     def _merge(self, blocked: Iterable[BlockedParts]) -> None:
         added = self._blocks.merge(blocked, time.time())
         for one in added:
-            self._crashes.explain(one.parts)
             self._log.note(
                 'Prompt parts are blocked.',
                 parts=sorted(one.parts),
                 asked_s=int(one.at_s),
             )
         if added:
+            self._crashes.explain(one.parts for one in self.blocked)
             self._metrics.set_state('blocked_parts', len(self.blocked))
             for listener in self._listeners:
                 listener(added)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -100,7 +100,7 @@
             broken(3, REQUEST),
         ])
         if is_explained:
-            known.explain(frozenset((BAD,)))
+            known.explain([frozenset((BAD,))])
         assert (known.blamed('subject') == {'subject'}) is not is_explained
         assert known.count(BAD) == 2
 
