--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -104,6 +104,15 @@
         assert (known.blamed('subject') == {'subject'}) is not is_explained
         assert known.count(BAD) == 2
 
+    def test_equal_evidence_hides_no_cause(self):
+        """A sound request blocked first does not explain its neighbour's."""
+        known = CrashEvidence()
+        for number in range(REQUEST_CRASHES):
+            for name in (REQUEST, f'{REQUEST}-beside'):
+                known.merge([broken(number, name, weight=WAITING_WEIGHT)])
+        known.explain([frozenset((f'{REQUEST}-beside',))])
+        assert known.blamed(REQUEST) == {REQUEST}
+
     def test_answered_request_is_not_blamed(self):
         """An answer shows that none of the crashes before was its fault."""
         known = CrashEvidence()
