Let blocked names explain crashes only if they were in others too

Found by reading: of two requests that fell in the same three crashes, the one that was blocked first explained the crashes of the other, which could end up to three servers more. Change: a block explains a crash only if it was in a crash that the other name was not in; with equal evidence both are blocked.

--- a/src/siskinpass/process/crash_evidence.py
+++ b/src/siskinpass/process/crash_evidence.py
@@ -186,13 +186,29 @@
 
     def _crashes(self, name: str) -> list[list[BrokenRequest]]:
         """Return the crashes that speak against a name."""
-        others = [one for one in self._explanations if name not in one]
+        own = self._suspected.get(name, {})
+        if not own:
+            return []
+        # With no crash of its own, an explanation is no better than the name.
+        others = [
+            one
+            for one in self._explanations
+            if name not in one and self._servers_of(one) - own.keys()
+        ]
         return [
             crash
-            for server, crash in self._suspected.get(name, {}).items()
+            for server, crash in own.items()
             if not self._is_explained(server, others)
         ]
 
+    def _servers_of(self, names: frozenset[str]) -> set[str]:
+        """Return the servers that ended under requests with all of them."""
+        return {
+            server
+            for server in self._by_server
+            if self._is_explained(server, (names,))
+        }
+
     def _is_explained(
         self, server: str, explanations: Iterable[frozenset[str]]
     ) -> bool:
