Keep one loop that writes a record until the store has it

Found by reading the change: the records of crashes and of streams each had their own loop, with the same wait and log line. Logic as before; the failure of a version's record names the record instead of the service and the version.

--- a/src/siskinpass/process/fleet/part_records.py
+++ b/src/siskinpass/process/fleet/part_records.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
-from siskinpass.exceptions import StoreError
 from siskinpass.platform.objects import StoredObject
 from siskinpass.platform.part_records import (
     PARTS_KIND,
@@ -21,7 +20,6 @@
 from siskinpass.process.logs import ComponentLog
 
 MS_PER_S = 1000
-WRITE_RETRY_S = 1.0
 # Delays before a request that a crash cut off is recorded, and recorded again.
 RECORD_DELAY_S = 1.0
 RECORD_AGAIN_S = 10.0
@@ -33,8 +31,7 @@
     """Writer and reader of the records."""
 
     def __init__(self, store: StoreClient) -> None:
-        self._log = ComponentLog('parts')
-        self._records = Records(store, PARTS_KIND, self._log)
+        self._records = Records(store, PARTS_KIND, ComponentLog('parts'))
 
     async def write_suspects(
         self,
@@ -62,27 +59,17 @@
 
     async def write(self, record: PartRecord) -> None:
         """Write a record to the store, until it has it."""
-        while not await self._try_record(record):
-            await asyncio.sleep(WRITE_RETRY_S)
+        await self._records.write_until_stored(
+            record_name(record),
+            encode_record(record),
+            'Prompt parts are not recorded yet.',
+        )
 
     def read(self, stored: StoredObject) -> Iterable[PartRecord]:
         """Return the record of an object; an expired one is removed."""
         record = self._records.read(stored, decode_record, _is_current)
         return () if record is None else (record,)
 
-    async def _try_record(self, record: PartRecord) -> bool:
-        name, body = record_name(record), encode_record(record)
-        try:
-            await self._records.write(name, body)
-        except StoreError as error:
-            self._log.warn(
-                'Prompt parts are not recorded yet.',
-                record=name,
-                cause=str(error),
-            )
-            return False
-        return True
-
 
 def _is_current(record: PartRecord) -> bool:
     now_s = time.time()
--- a/src/siskinpass/process/fleet/records.py
+++ b/src/siskinpass/process/fleet/records.py
@@ -1,5 +1,6 @@
 """Write, read and remove the system's own records in the store."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -13,6 +14,8 @@
 from siskinpass.process.fleet.store_client import StoreClient
 from siskinpass.process.logs import ComponentLog
 
+WRITE_RETRY_S = 1.0
+
 RecordT = TypeVar('RecordT')
 
 
@@ -41,6 +44,16 @@
         except StoreConflictError:
             await self.replace(name, body)
 
+    async def write_until_stored(
+        self, name: str, body: Any, failure: str
+    ) -> None:
+        """Write a record, until the store has it.
+
+        :param failure: sentence to log after each write that failed.
+        """
+        while not await self._try_write(name, body, failure):
+            await asyncio.sleep(WRITE_RETRY_S)
+
     async def replace(self, name: str, body: Any) -> None:
         """Replace a record that exists.
 
@@ -57,6 +70,14 @@
                 'An expired record stays.', record=name, cause=str(error)
             )
 
+    async def _try_write(self, name: str, body: Any, failure: str) -> bool:
+        try:
+            await self.write(name, body)
+        except StoreError as error:
+            self._log.warn(failure, record=name, cause=str(error))
+            return False
+        return True
+
     def read(
         self,
         stored: StoredObject,
--- a/src/siskinpass/process/fleet/stream_records.py
+++ b/src/siskinpass/process/fleet/stream_records.py
@@ -1,10 +1,8 @@
 """Records about streams and software versions, in the store."""
 
-import asyncio
 import time
 from collections.abc import Iterable
 
-from siskinpass.exceptions import StoreError
 from siskinpass.platform.stream_records import (
     STREAMS_KIND,
     StreamRecord,
@@ -24,7 +22,6 @@
 )
 
 NS_PER_MS = 1_000_000
-WRITE_RETRY_S = 1.0
 
 
 class StreamRecords:
@@ -39,8 +36,7 @@
         # the one before it has written.
         self._name = f'streams-{own}-{time.time_ns() // NS_PER_MS}'
         self._is_written = False
-        self._log = ComponentLog('versions')
-        self._records = Records(store, STREAMS_KIND, self._log)
+        self._records = Records(store, STREAMS_KIND, ComponentLog('versions'))
 
     async def load(self) -> tuple[list[StreamBegun], list[VersionServed]]:
         """Return all recorded streams and versions.
@@ -82,28 +78,16 @@
 
     async def write_version(self, fact: VersionServed) -> None:
         """Record a version, until the store has it."""
-        while not await self._try_version(fact):
-            await asyncio.sleep(WRITE_RETRY_S)
+        await self._records.write_until_stored(
+            version_record_name(fact),
+            encode_version(fact),
+            'A software version is not recorded yet.',
+        )
 
     async def remove_version(self, fact: VersionServed) -> None:
         """Remove the record of a version that no longer serves."""
         await self._records.remove(version_record_name(fact))
 
-    async def _try_version(self, fact: VersionServed) -> bool:
-        try:
-            await self._records.write(
-                version_record_name(fact), encode_version(fact)
-            )
-        except StoreError as error:
-            self._log.warn(
-                'A software version is not recorded yet.',
-                service=fact.service,
-                software=fact.version,
-                cause=str(error),
-            )
-            return False
-        return True
-
 
 def _is_current(record: StreamRecord) -> bool:
     if isinstance(record, StreamsRecord):
