Keep the times of a limit by process, and drop them with it

A server that started again under its name was announced up to a second late, and times of servers that left stayed for good. The new test failed without it: announced [1].

--- a/src/siskinpass/process/fleet/server_limits.py
+++ b/src/siskinpass/process/fleet/server_limits.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Hashable, Iterable, Mapping
 from dataclasses import dataclass
 
 from siskinpass.process.facts import FactTable, lifetime_s, subject_of
@@ -66,9 +66,9 @@
         self._loop = asyncio.get_running_loop()
         self._log = ComponentLog('limits')
         self._limits: FactTable[ServerLimit] = FactTable(MAX_LIMITS)
-        # By server, on the event loop's clock.
-        self._received_s: dict[str, float] = {}
-        self._announced_s: dict[str, float] = {}
+        # By server and process, on the event loop's clock.
+        self._received_s: dict[Hashable, float] = {}
+        self._announced_s: dict[Hashable, float] = {}
         self._shares: dict[str, Share] = {}
 
     @property
@@ -91,11 +91,10 @@
         :param per_s: requests a second, ``None`` if the answer states no limit.
         :param sent_s: when the request was sent, on the event loop's clock.
         """
-        known = self._limits.find(
-            (server.name, server.incarnation), time.time()
-        )
+        process = server.name, server.incarnation
+        known = self._limits.find(process, time.time())
         is_limited = known is not None and known.per_s is not None
-        received_s = self._received_s.get(server.name, 0.0)
+        received_s = self._received_s.get(process, 0.0)
         if per_s is None and not (is_limited and sent_s > received_s):
             return
         # Later than the known one, even if the clock was set back.
@@ -122,16 +121,18 @@
         if not limits:
             return
         listed = {(server.name, server.incarnation) for server in servers}
-        for limit in limits:
-            if subject_of(limit) not in listed:
-                self._limits.drop(subject_of(limit))
+        for process in map(subject_of, limits):
+            if process not in listed:
+                self._limits.drop(process)
+                self._received_s.pop(process, None)
+                self._announced_s.pop(process, None)
         self._share()
 
     def _merge(self, limit: ServerLimit, now_s: float) -> None:
         known = self._limits.find(subject_of(limit), now_s)
         if not self._limits.merge((limit,), now_s):
             return
-        self._received_s[limit.server] = self._loop.time()
+        self._received_s[subject_of(limit)] = self._loop.time()
         if known is None or known.per_s != limit.per_s:
             self._apply(limit)
 
@@ -148,9 +149,10 @@
 
     def _announce_rarely(self, limit: ServerLimit) -> None:
         now_s = self._loop.time()
-        if now_s - self._announced_s.get(limit.server, 0.0) < ANNOUNCE_S:
+        process = subject_of(limit)
+        if now_s - self._announced_s.get(process, 0.0) < ANNOUNCE_S:
             return
-        self._announced_s[limit.server] = now_s
+        self._announced_s[process] = now_s
         self._announce((limit,))
 
     def _share(self) -> None:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -17,6 +17,7 @@
 from siskinpass.process.fleet.server_limits import ServerLimit, ServerLimits
 from siskinpass.process.metrics import Metrics
 from siskinpass.process.server_pace import Sharing
+from siskinpass.request.ticket import ServerView
 from tests.test_fleet import run_scenario
 from tests.test_server_notices import reach
 
@@ -213,6 +214,30 @@
         assert asyncio.run(scenario()) == expected
 
 
+class TestRestartedServer:
+    """Test a server that starts again under the name that it had."""
+
+    def test_limit_of_its_next_process_is_announced(self):
+        """The announcement of the one before does not delay it."""
+
+        async def scenario():
+            announced = []
+            limits = ServerLimits(
+                lambda: Sharing('a', ('a',)),
+                lambda shares: None,
+                announced.extend,
+                Metrics(),
+            )
+            for incarnation in (1, 1, 2):
+                server = ServerView(
+                    'i-1', '1.1.1.1:1', 'app', incarnation=incarnation
+                )
+                limits.note(server, 2.0, 0.0)
+            return [one.incarnation for one in announced]
+
+        assert asyncio.run(scenario()) == [1, 2]
+
+
 async def _know_a_limit(fleet):
     known = [await _knows_a_limit(fleet, name) for name in fleet.processes]
     return all(known)
