--- a/src/siskinpass/process/fleet/crash_guard.py
+++ b/src/siskinpass/process/fleet/crash_guard.py
@@ -246,19 +246,17 @@
                     self._records.write_suspects(one, self._crashes.suspects)
                 )
 
-    def _worth_recording(
-        self, request: BrokenRequest
-    ) -> Iterable[BrokenRequest]:
+    def _worth_recording(self, request: BrokenRequest) -> set[BrokenRequest]:
         """Return the requests that instances that start later should know.
 
         Most of those that a crash cuts off are sound. Those that fell in an
         earlier crash too, or as their answers began, are few.
         """
-        if request.weight == BEGUN_WEIGHT:
-            yield request
+        found = {request} if request.weight == BEGUN_WEIGHT else set()
         for name in filter(is_identity, request.parts):
             if self._crashes.count(name) >= SUSPICIOUS_CRASHES:
-                yield from self._crashes.requests(name)
+                found.update(self._crashes.requests(name))
+        return found
 
     async def _is_gone(self, address: str) -> bool:
         # A process that ends closes all its connections, idle ones too.
