Test lost announcements of crashes, three versions, and take-ups without a name

Ways of both matters that no test held: an instance that gets no announcement finds the block of a part or a request in the store; three versions side by side; a take-up that names no attempt goes on at the only version, and is refused while two serve.

--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -22,9 +22,15 @@
 from siskinpass.process.blocked_parts import BLOCK_S, BlockedParts
 from siskinpass.process.crash_evidence import BEGUN_WEIGHT, BrokenRequest
 from siskinpass.process.fleet import crash_guard, part_records
-from siskinpass.process.fleet.fact_topics import CLEARED
+from siskinpass.process.fleet.fact_topics import (
+    BLAMED,
+    BLOCKED,
+    BROKEN,
+    CLEARED,
+)
 from siskinpass.process.fleet.watch import Listed
 from siskinpass.process.metrics import Metrics
+from siskinpass.request.identity import PREFIX
 from siskinpass.request.ticket import ServerView
 
 BAD = 'bad'
@@ -263,6 +269,31 @@
         asyncio.run(scenario())
 
 
+class TestLostAnnouncements:
+    """Test an instance that gets no announcement of crashes at all."""
+
+    @pytest.mark.parametrize('name', [BAD, f'{PREFIX}0a1b'])
+    def test_records_make_up_for_them(self, name):
+        """It refuses what the others have blocked once it reads the store."""
+
+        async def scenario():
+            store = Store()
+            bus = Bus(3, store)
+            bus.lost.update((BROKEN.name, BLAMED.name, BLOCKED.name))
+            for number in range(1, 4):
+                await bus.guards[0].note_broken(*crash(number, name))
+            await settle()
+            before = [refuses(guard, name) for guard in bus.guards]
+            stored = tuple(
+                StoredObject(found, 1, body)
+                for found, body in store.records.items()
+            )
+            bus.guards[-1].apply_store(Listed(stored))
+            return before, refuses(bus.guards[-1], name)
+
+        assert asyncio.run(scenario()) == ([True, True, False], True)
+
+
 class TestRecords:
     """Test what instances that start later find in the store."""
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -115,12 +115,14 @@
 
         run_scenario(scenario, servers=0)
 
-    @pytest.mark.parametrize('instances', [1, 3])
-    def test_take_up_goes_on_at_its_version(self, instances):
+    @pytest.mark.parametrize(
+        ('instances', 'versions'), [(1, 'ab'), (3, 'ab'), (2, 'abc')]
+    )
+    def test_take_up_goes_on_at_its_version(self, instances, versions):
         """Whichever instance the caller comes back to knows the version."""
 
         async def scenario(fleet):
-            await add_versions(fleet, {'a': 2, 'b': 2})
+            await add_versions(fleet, dict.fromkeys(versions, 2))
             begun = await begin_streams(fleet)
             assert await take_up_all(fleet, begun) == (0, STREAMS)
 
@@ -185,6 +187,22 @@
 
         run_scenario(scenario, servers=0)
 
+    @pytest.mark.parametrize(
+        ('versions', 'status'),
+        [('a', 200), ('ab', MEANINGS[Code.version_unknown].status)],
+    )
+    def test_take_up_that_names_no_attempt(self, versions, status):
+        """It goes on only if one version can have begun the stream."""
+
+        async def scenario(fleet):
+            await add_versions(fleet, dict.fromkeys(versions, 1))
+            answer = await fleet.ask(
+                '/stream/x', call='again', more='Last-Event-Id: 3\r\n'
+            )
+            assert answer.status == status
+
+        run_scenario(scenario, servers=0)
+
     @pytest.mark.parametrize('is_restarted', [False, True])
     def test_one_version_needs_no_records(self, is_restarted):
         """Streams of the only version are taken up without being known."""
