Run fleets before crashing servers from one place

Found by reading the change: the tests of crashing parts and of crashing requests each had their own copy of the set-up. The tests keep their assertions.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -7,7 +7,7 @@
 import socket
 import sys
 import tempfile
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from functools import lru_cache
@@ -399,6 +399,34 @@
     return server
 
 
+@asynccontextmanager
+async def running_crashing_fleet(
+    causes: CrashCauses,
+    servers: int,
+    is_served: Callable[[Fleet, str], Awaitable[bool]],
+    **more: int,
+) -> AsyncGenerator[tuple[Fleet, list[RestartingServer]], None]:
+    """Run a fleet before servers that crash on some requests.
+
+    Entered once all instances serve.
+
+    :param servers: number of servers.
+    :param is_served: returns whether an instance, given by its name, serves.
+    """
+    async with running_fleet(servers=0, **more) as fleet:
+        started = [
+            await start_crashing_server(fleet, number, causes)
+            for number in range(servers)
+        ]
+        for name in fleet.processes:
+            await wait_until(
+                lambda name=name: is_served(fleet, name), f'{name} to serve'
+            )
+        yield fleet, started
+        for server in started:
+            server.close()
+
+
 async def accepts(port):
     """Return whether anything listens on a port."""
     try:
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -2,13 +2,11 @@
 
 import asyncio
 import re
-from contextlib import asynccontextmanager
 
 import pytest
 
 from bench.fleet import (
-    running_fleet,
-    start_crashing_server,
+    running_crashing_fleet,
     wait_until,
 )
 from bench.soak_checks import BUDGET_CRASHES, BUDGET_REQUESTS, CONTACT_S
@@ -25,23 +23,6 @@
 MAX_REQUESTS = 20
 
 
-@asynccontextmanager
-async def crashing_fleet(instances=INSTANCES, **more):
-    """Run a fleet before servers that crash on one part."""
-    async with running_fleet(instances=instances, servers=0, **more) as fleet:
-        servers = [
-            await start_crashing_server(fleet, number, CAUSES)
-            for number in range(SERVERS)
-        ]
-        for name in fleet.processes:
-            await wait_until(
-                lambda name=name: _is_served(fleet, name), f'{name} to serve'
-            )
-        yield fleet, servers
-        for server in servers:
-            server.close()
-
-
 async def ask_with(fleet, name, *parts, call='id-1', path='/plain-stream/x'):
     """Send a request whose prompt has some shared parts."""
     entries = ''.join(f'{part}:50,' for part in parts)
@@ -79,7 +60,10 @@
     """Run a scenario with a fleet before crashing servers."""
 
     async def run():
-        async with crashing_fleet(**more) as (fleet, servers):
+        plan = {'instances': INSTANCES} | more
+        async with running_crashing_fleet(
+            CAUSES, SERVERS, _is_served, **plan
+        ) as (fleet, servers):
             await scenario(fleet, servers)
 
     asyncio.run(asyncio.wait_for(run(), 90))
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,14 +1,12 @@
 """Test requests that crash each backend server that runs them."""
 
 import asyncio
-from contextlib import asynccontextmanager
 
 import pytest
 
 from bench.fleet import (
     WHOLE,
-    running_fleet,
-    start_crashing_server,
+    running_crashing_fleet,
     wait_until,
 )
 from bench.soak_checks import (
@@ -28,23 +26,6 @@
 PATHS = ('/safe/x', '/once/x', '/stream/x', '/plain-stream/x')
 
 
-@asynccontextmanager
-async def crashing_fleet(instances=INSTANCES, **more):
-    """Run a fleet before servers that crash on one body."""
-    async with running_fleet(instances=instances, servers=0, **more) as fleet:
-        servers = [
-            await start_crashing_server(fleet, number, CAUSES)
-            for number in range(SERVERS)
-        ]
-        for name in fleet.processes:
-            await wait_until(
-                lambda name=name: _is_served(fleet, name), f'{name} to serve'
-            )
-        yield fleet, servers
-        for server in servers:
-            server.close()
-
-
 def bad_arrivals(servers):
     """Return how often the request was run by any server."""
     return sum(
@@ -79,7 +60,10 @@
     """Run a scenario with a fleet before crashing servers."""
 
     async def run():
-        async with crashing_fleet(**more) as (fleet, servers):
+        plan = {'instances': INSTANCES} | more
+        async with running_crashing_fleet(
+            CAUSES, SERVERS, _is_served, **plan
+        ) as (fleet, servers):
             await scenario(fleet, servers)
 
     asyncio.run(asyncio.wait_for(run(), 90))
