Log at each instance which servers count as ended

Logs could not tell whether an instance refused a request because it reached no server, or because another instance had reported the servers as ended. Each instance now logs each report that it obeys, with the call that caused it. No change of behaviour.

--- a/src/siskinpass/process/fleet/crash_guard.py
+++ b/src/siskinpass/process/fleet/crash_guard.py
@@ -274,6 +274,9 @@
         given = tuple(requests)
         for request in given:
             name, _, incarnation = request.server.rpartition('/')
+            self._log.note(
+                'A server counts as ended.', call=request.call, server=name
+            )
             self._on_ended(name, int(incarnation))
         self._add_broken(given)
 
