--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -24,6 +24,7 @@
     RestartingServer,
 )
 from standins.http_server import Connections, serve
+from standins.paths import ServerPaths
 
 WAIT_S = 20.0
 POLL_S = 0.02
@@ -37,9 +38,12 @@
     f'id: {number}\ndata: x{number}\n\n'.encode() for number in range(1, 9)
 )
 KEY = 'key-1'
+LOCALHOST = '127.0.0.1'
+METRICS = 4  # of an instance's ports
+IPS_PER_NETWORK = 200
 SETTINGS = """
 node-name: "{name}"
-ip: "127.0.0.1"
+ip: "{ip}"
 zone: "a"
 seed-nodes: {seeds}
 listen:
@@ -122,12 +126,17 @@
     :param small_fleet: number of instances up to which each reads the store.
     :param connections: open connections of each server.
     :param ports: ports of each instance by its name, and of ``store``.
+    :param ips: address of each instance by its name, for other instances and
+        for connections to servers.
+    :param paths: paths from instances to servers.
     """
 
     store: ObjectStore
     servers: list[BackendServer]
     small_fleet: int = SMALL_FLEET
     ports: dict[str, list[int]] = field(default_factory=dict)
+    ips: dict[str, str] = field(default_factory=dict)
+    paths: ServerPaths | None = None
     server_ports: dict[str, int] = field(default_factory=dict)
     connections: dict[str, Connections] = field(default_factory=dict)
     logs: dict[str, Path] = field(default_factory=dict)
@@ -202,17 +211,23 @@
         :param kind: 1 for readiness, 2 for the directory, 4 for the metrics.
         """
         wire = f'GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
-        return await exchange(self.ports[name][kind], wire.encode())
+        host = self.ips[name] if kind == METRICS else LOCALHOST
+        return await exchange(self.ports[name][kind], wire.encode(), host)
 
     async def start(self, name):
         """Start one instance without waiting until it is ready."""
         ports = free_ports(5)
         self.ports[name] = ports
+        ip = self.ips.setdefault(name, _instance_ip(len(self.ips)))
         path = Path(tempfile.mkdtemp()) / 'boot.yaml'
         self.logs[name] = path.with_name('log.jsonl')
         path.write_text(
             SETTINGS.format(
-                name=name, ports=ports, store=self.ports['store'][0], seeds=[]
+                name=name,
+                ip=ip,
+                ports=ports,
+                store=self.ports['store'][0],
+                seeds=[],
             ),
         )
         self.processes[name] = await asyncio.create_subprocess_exec(
@@ -283,14 +298,19 @@
     return PortBlock()
 
 
+def _instance_ip(number: int) -> str:
+    network, host = divmod(number, IPS_PER_NETWORK)
+    return f'127.0.{network + 1}.{host + 1}'
+
+
 def free_ports(count):
     """Return TCP ports that nothing listens on."""
     return _port_block().take(count)
 
 
-async def exchange(port, wire):
+async def exchange(port, wire, host=LOCALHOST):
     """Send bytes on a new connection and read the answer up to its close."""
-    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    reader, writer = await asyncio.open_connection(host, port)
     writer.write(wire)
     try:
         arrived = await asyncio.wait_for(reader.read(-1), WAIT_S)
@@ -337,15 +357,25 @@
     instances: int = 1,
     servers: int = 2,
     small_fleet: int = SMALL_FLEET,
+    *,
+    has_paths: bool = False,
 ) -> AsyncGenerator[Fleet, None]:
     """Run a store, backend servers and instances; stop them afterwards.
 
     Entered once all instances are ready and accept connections.
+
+    :param has_paths: whether each instance that reads the store reaches each
+        server by a path of its own, which can be cut.
     """
     async with AsyncExitStack() as stack:
         fleet = Fleet(ObjectStore(), [], small_fleet)
         fleet.ports['store'] = free_ports(1)
-        await _listen(stack, fleet.store, fleet.ports['store'][0])
+        if has_paths:
+            fleet.paths = ServerPaths(fleet.store, lambda: free_ports(1)[0])
+            stack.callback(fleet.paths.close)
+        await _listen(
+            stack, fleet.paths or fleet.store, fleet.ports['store'][0]
+        )
         for number in range(servers):
             server = BackendServer(f'i-{number}')
             fleet.servers.append(server)
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -279,7 +279,7 @@
             port = self._fleet.ports[name][PEER_PORT] + LOADS_PORT_STEP
             with socket.socket(type=socket.SOCK_DGRAM) as sender:
                 for _ in range(FLOOD_DATAGRAMS):
-                    sender.sendto(JUNK, ('127.0.0.1', port))
+                    sender.sendto(JUNK, (self._fleet.ips[name], port))
             await asyncio.sleep(ANNOUNCE_AGAIN_S)
 
     @asynccontextmanager
--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -239,11 +239,13 @@
     :param idle_s: how long an idle connection is kept, unless its server
         announces a shorter time.
     :param max_idle: number of idle connections kept for each server.
+    :param local_host: address that connections leave from, empty for any.
     """
 
     connect_s: float = CONNECT_TIMEOUT_S
     idle_s: float = IDLE_TIMEOUT_S
     max_idle: int = MAX_IDLE_PER_SERVER
+    local_host: str = ''
 
 
 class BackendPool:
@@ -262,6 +264,11 @@
         self._policy = policy or PoolPolicy()
         self._idle: dict[str, list[BackendConnection]] = {}
 
+    @property
+    def _local_addr(self) -> tuple[str, int] | None:
+        local_host = self._policy.local_host
+        return (local_host, 0) if local_host else None
+
     async def connect(self, address: str, *, fresh: bool) -> BackendConnection:
         """Return an idle connection, or open one if there is none.
 
@@ -282,6 +289,7 @@
             ),
             host,
             int(port),
+            local_addr=self._local_addr,
         )
         try:
             _, connection = await asyncio.wait_for(
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 from collections.abc import Coroutine, Iterable
+from dataclasses import replace
 from functools import partial
 
 from grpclib.server import Server
@@ -83,13 +84,17 @@
         self._callers: set[HttpCaller] = set()
         self._listeners: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
-        self._store = StoreClient(settings.store, self._count_store_call)
+        self._store = StoreClient(
+            settings.store, self._count_store_call, settings.ip
+        )
         self._members = FleetMembers(settings, self._store)
         self._pauses = ServerPauses()
         self._assigner = Assigner(
             self._policy_for, self._pauses, self._send_placement
         )
-        self._backends = BackendPool(self._loop, BACKEND_POOL)
+        self._backends = BackendPool(
+            self._loop, replace(BACKEND_POOL, local_host=settings.ip)
+        )
         self._loads = LoadExchange(
             settings.name,
             self._own_loads,
--- a/src/siskinpass/process/fleet/store_client.py
+++ b/src/siskinpass/process/fleet/store_client.py
@@ -43,16 +43,21 @@
     :param address: ``ip:port`` of the store.
     :param on_call: called with the kind and the outcome of each call, for the
         metrics.
+    :param local_host: address that connections leave from, empty for any.
     """
 
     def __init__(
         self,
         address: str,
         on_call: Callable[[str, str], None],
+        local_host: str = '',
     ) -> None:
         self._address = address
         self._on_call = on_call
-        self._pool = BackendPool(asyncio.get_running_loop(), STORE_POOL)
+        self._pool = BackendPool(
+            asyncio.get_running_loop(),
+            replace(STORE_POOL, local_host=local_host),
+        )
         self._log = ComponentLog('store')
         self._era = 0
 
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -16,6 +16,7 @@
 
     :param query: query parameters; the last one counts if a name is repeated.
     :param headers: headers by name in lower case.
+    :param source: ip that the request came from.
     """
 
     method: str
@@ -23,6 +24,7 @@
     query: Mapping[str, str]
     headers: Mapping[str, str]
     body: bytes
+    source: str = ''
 
     def json(self) -> Any:
         """Return the parsed JSON body, an empty mapping if it is empty."""
@@ -174,6 +176,7 @@
                 dict(parse_qsl(url.query)),
                 self._headers,
                 b''.join(self._body),
+                self._transport.get_extra_info('peername')[0],
             ),
         )
 
--- /dev/null
+++ b/tests/test_cut_off_instances.py
@@ -0,0 +1,100 @@
+"""Test instances that lose their paths to all backend servers."""
+
+import asyncio
+
+import pytest
+
+from bench.fleet import WHOLE, running_fleet
+from bench.soak_checks import CONTACT_S
+from standins.paths import CUTS, PathState
+
+STATUS_OK = 200
+# Of the share at the other instances, that callers' first tries must be served.
+SERVED_FRACTION = 2 / 3
+PATHS = ('/safe/x', '/once/x', '/stream/x', '/plain-stream/x')
+ROUNDS = 6
+ROUND_S = 0.15
+CUT_NAMES = (('front-1',), ('front-1', 'front-2', 'front-3'))
+
+
+async def ask(fleet, name, path, call):
+    """Return whether a request is served at the first try, and whole."""
+    try:
+        answer = await fleet.ask(path, name=name, call=call)
+    except (OSError, TimeoutError):
+        return False
+    if 'stream' in path:
+        return answer.is_whole and answer.body == WHOLE
+    return answer.status == STATUS_OK
+
+
+async def served_at(fleet, names, label):
+    """Return the share of first tries that some instances serve."""
+    tries = []
+    for number in range(ROUNDS):
+        for name in names:
+            for path in PATHS:
+                call = f'{label}-{name}-{path}-{number}'
+                tries.append(
+                    asyncio.ensure_future(ask(fleet, name, path, call))
+                )
+        await asyncio.sleep(ROUND_S)
+    found = await asyncio.gather(*tries)
+    return sum(found) / len(found)
+
+
+def run_fleet(scenario, instances=4, servers=3):
+    """Run a scenario with a fleet whose paths to servers can be cut."""
+
+    async def run():
+        async with running_fleet(instances, servers, has_paths=True) as fleet:
+            await served_at(fleet, fleet.processes, 'first')
+            await scenario(fleet)
+
+    asyncio.run(asyncio.wait_for(run(), 120))
+
+
+def cut(fleet, names, state):
+    """Cut some instances off from all servers."""
+    return fleet.paths.cut([fleet.ips[name] for name in names], state)
+
+
+class TestService:
+    """Test what callers get at instances that are cut off."""
+
+    @pytest.mark.parametrize('names', CUT_NAMES, ids=['one', 'most'])
+    @pytest.mark.parametrize('state', CUTS, ids=[one.value for one in CUTS])
+    def test_first_tries_are_served_about_as_often_as_elsewhere(
+        self, state, names
+    ):
+        """From the contact time after the cut began, through other ways."""
+
+        async def scenario(fleet):
+            others = fleet.processes.keys() - set(names)
+            await cut(fleet, names, state)
+            await served_at(fleet, fleet.processes, 'early')
+            await asyncio.sleep(CONTACT_S - ROUNDS * ROUND_S)
+            here, elsewhere = await asyncio.gather(
+                served_at(fleet, names, 'cut'),
+                served_at(fleet, others, 'other'),
+            )
+            assert here >= SERVED_FRACTION * elsewhere
+            assert elsewhere > SERVED_FRACTION
+            runs = [run.headers['x-attempt-id'] for run in fleet.runs]
+            once = [call for call in runs if '/once/' in call]
+            assert len(once) == len(set(once))
+
+        run_fleet(scenario)
+
+    @pytest.mark.parametrize('state', CUTS, ids=[one.value for one in CUTS])
+    def test_instances_use_their_own_paths_again_after_the_cut(self, state):
+        """All tries are served, and servers are reached directly."""
+
+        async def scenario(fleet):
+            await cut(fleet, ['front-1'], state)
+            await served_at(fleet, ['front-1'], 'cut')
+            await cut(fleet, ['front-1'], PathState.sound)
+            await asyncio.sleep(CONTACT_S)
+            assert await served_at(fleet, ['front-1'], 'late') == 1
+
+        run_fleet(scenario)
