--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -277,7 +277,7 @@
         :raises ConnectError: if no connection can be opened; nothing was
             sent.
         """
-        idle = None if fresh else self._pop_idle(address)
+        idle = None if fresh else self.reuse(address)
         if idle is not None:
             return idle
         host, port = address.rsplit(':', 1)
@@ -303,12 +303,8 @@
             ) from error
         return connection
 
-    def close_idle(self, address: str) -> None:
-        """Close the idle connections to an address."""
-        for connection in self._idle.pop(address, ()):
-            connection.cancel()
-
-    def _pop_idle(self, address: str) -> BackendConnection | None:
+    def reuse(self, address: str) -> BackendConnection | None:
+        """Return an idle connection, ``None`` if there is none."""
         idle = self._idle.get(address, [])
         while idle:
             connection = idle.pop()
@@ -320,6 +316,11 @@
             connection.cancel()
         return None
 
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle.pop(address, ()):
+            connection.cancel()
+
     def _add_idle(self, address: str, connection: BackendConnection) -> None:
         idle = self._idle.setdefault(address, [])
         if len(idle) >= self._policy.max_idle:
--- a/src/siskinpass/process/fleet/answer.py
+++ b/src/siskinpass/process/fleet/answer.py
@@ -74,6 +74,7 @@
         attempts; ``None`` for an answer that is delivered in one piece.
     :param writer: receives complete events.
     :param on_notice: called with what the server says about itself.
+    :ivar on_data: called whenever data of the server arrives, if set.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         on_notice: Callable[[ServerNotice], None],
     ) -> None:
         self._on_notice = on_notice
+        self.on_data: Callable[[], None] | None = None
         self._call_id = call_id
         self._parser = parser
         self._writer = writer
@@ -148,8 +150,9 @@
 
     def receive_head(self, status: int, headers: tuple[Header, ...]) -> bool:
         """Check the head and return whether it answers this request."""
+        self._note_data()
         head = decode_answer(status, headers)
-        if head.call_id and head.call_id != self._call_id:
+        if not head.may_answer(self._call_id):
             return False
         if head.notice is not None:
             self._on_notice(head.notice)
@@ -165,6 +168,7 @@
 
     def receive_body(self, piece: bytes) -> None:
         """Collect a body, or forward the complete events of a stream."""
+        self._note_data()
         if self._is_streaming:
             self._receive_events(piece)
             return
@@ -206,6 +210,10 @@
             self._writer.begin(self._head)
             self._writer.write(events)
 
+    def _note_data(self) -> None:
+        if self.on_data is not None:
+            self.on_data()
+
     def _note_progress(self) -> None:
         self._last_progress_s = self._loop.time()
         self._has_progressed = True
--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -191,6 +191,11 @@
                 Code.version_gone, retry_after_ms=int(RETRY_GONE_S * MS_PER_S)
             )
 
+    def usable(self, name: str) -> ServerView | None:
+        """Return the server of a name if requests may be sent to it now."""
+        view = self._views.get(name)
+        return view if view is not None and self._may_use(view) else None
+
     def is_serving(self, view: ServerView) -> bool:
         """Return whether a server is listed and not leaving."""
         current = self._views.get(view.name)
--- a/src/siskinpass/process/fleet/crash_guard.py
+++ b/src/siskinpass/process/fleet/crash_guard.py
@@ -10,11 +10,10 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 from siskinpass.codes import Code
-from siskinpass.connection.backend import BackendPool
-from siskinpass.exceptions import ConnectError, RefusedError
+from siskinpass.exceptions import RefusedError
 from siskinpass.process.background import BackgroundTasks
 from siskinpass.process.blocked_parts import BLOCK_S, BlockedParts, BlockList
 from siskinpass.process.crash_evidence import (
@@ -52,6 +51,7 @@
 # them seems to have failed to.
 UNRECORDED_S = 3.0
 
+HasEnded = Callable[[ServerView], Awaitable[bool]]
 OnEnded = Callable[[str, int], None]
 OnBlocked = Callable[[Iterable[BlockedParts]], None]
 
@@ -59,7 +59,7 @@
 class CrashGuard:
     """Owner of what this instance knows about what crashes servers.
 
-    :param backends: connections, with which the end of a server is checked.
+    :param has_ended: returns whether a server's process has ended.
     :param store: where blocked parts are recorded.
     :param exchange: sends facts to the other instances and receives theirs.
     :param on_ended: called with the name and the incarnation of each server
@@ -68,13 +68,13 @@
 
     def __init__(
         self,
-        backends: BackendPool,
+        has_ended: HasEnded,
         store: StoreClient,
         exchange: Exchange,
         on_ended: OnEnded,
         metrics: Metrics,
     ) -> None:
-        self._backends = backends
+        self._has_ended = has_ended
         self._records = PartRecords(store)
         self._exchange = exchange
         self._on_ended = on_ended
@@ -158,8 +158,9 @@
     ) -> None:
         """Record that an answer broke off, if its server has ended.
 
-        A server that still accepts connections, or that cannot be reached at
-        all, has not crashed. Returns once that is known, or seems to take long.
+        A server that still accepts connections, or that only this instance does
+        not reach, has not crashed. Returns once that is known, or seems to take
+        long.
         """
         check = self._background.start(self._check_server(request, server))
         await asyncio.wait((check,), timeout=VERDICT_S)
@@ -227,7 +228,7 @@
     ) -> None:
         probe = self._probes.get(server.name)
         if probe is None:
-            probe = asyncio.ensure_future(self._is_gone(server.address))
+            probe = asyncio.ensure_future(self._is_gone(server))
             self._probes[server.name] = probe
             probe.add_done_callback(lambda _: self._probes.pop(server.name))
         if await probe:
@@ -258,16 +259,10 @@
                 found.update(self._crashes.requests(name))
         return found
 
-    async def _is_gone(self, address: str) -> bool:
+    async def _is_gone(self, server: ServerView) -> bool:
         # A process that ends closes all its connections, idle ones too.
         await asyncio.sleep(CLOSE_DELAY_S)
-        try:
-            connection = await self._backends.connect(address, fresh=False)
-        except ConnectError as error:
-            # No answer at all may come from a fault on the way.
-            return isinstance(error.__cause__, ConnectionRefusedError)
-        connection.give_back()
-        return False
+        return await self._has_ended(server)
 
     def _add_ended(self, requests: Iterable[BrokenRequest]) -> None:
         """Add requests whose servers have just ended."""
--- a/src/siskinpass/process/fleet/fact_topics.py
+++ b/src/siskinpass/process/fleet/fact_topics.py
@@ -11,6 +11,7 @@
 
 from siskinpass.process.blocked_parts import BlockedParts
 from siskinpass.process.crash_evidence import BrokenRequest, ClearedPart
+from siskinpass.process.fleet.path_reports import PathReport
 from siskinpass.process.fleet.server_limits import ServerLimit
 from siskinpass.process.version_history import StreamBegun
 from siskinpass.request.ticket import ServerView
@@ -87,6 +88,15 @@
     return StreamBegun(*row, time.time())
 
 
+def _encode_path_report(fact: PathReport) -> Any:
+    return fact.instance, fact.is_cut_off, fact.failed
+
+
+def _decode_path_report(row: list[Any]) -> PathReport:
+    instance, is_cut_off, failed = row
+    return PathReport(instance, is_cut_off, tuple(failed), time.time())
+
+
 LEAVING: FactTopic[ServerView] = FactTopic(
     'leaving', astuple, lambda row: ServerView(*row)
 )
@@ -105,6 +115,10 @@
 STREAMS: FactTopic[StreamBegun] = FactTopic(
     'streams', _encode_stream, _decode_stream
 )
+# Servers that an instance does not reach by connections of its own.
+PATHS: FactTopic[PathReport] = FactTopic(
+    'paths', _encode_path_report, _decode_path_report
+)
 TOPICS: tuple[FactTopic[Any], ...] = (
     LEAVING,
     LIMITS,
@@ -113,4 +127,5 @@
     BLAMED,
     BLOCKED,
     STREAMS,
+    PATHS,
 )
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -10,7 +10,6 @@
 from types import MappingProxyType
 
 from siskinpass.codes import MEANINGS, Code
-from siskinpass.connection.backend import BackendPool
 from siskinpass.connection.http_caller import HttpCaller
 from siskinpass.exceptions import ConnectError, RefusedError
 from siskinpass.platform.headers import decode_call, encode_send
@@ -18,6 +17,7 @@
 from siskinpass.process.fleet.assigner import Assigner
 from siskinpass.process.fleet.crash_check import CrashCheck
 from siskinpass.process.fleet.crash_guard import CrashGuard
+from siskinpass.process.fleet.server_access import ServerAccess
 from siskinpass.process.fleet.stream_origin import StreamOrigin
 from siskinpass.process.fleet.stream_output import StreamOutput
 from siskinpass.process.fleet.stream_versions import StreamVersions
@@ -72,6 +72,7 @@
     """Dependencies of the request handlers.
 
     :param table: returns the routing table in force, ``None`` before the first.
+    :param access: ways to the servers.
     :param may_retry: spends one retry of a service's budget and returns whether
         there was one left.
     :param note_request: adds a request to the retry budget of its service.
@@ -83,7 +84,7 @@
 
     table: Callable[[], RouteTable | None]
     assigner: Assigner
-    backends: BackendPool
+    access: ServerAccess
     metrics: Metrics
     may_retry: Callable[[str], bool]
     note_request: Callable[[str], None]
@@ -121,6 +122,11 @@
         for request_handler in tuple(self._handlers.values()):
             request_handler.stop_blocked()
 
+    def stop_unreachable(self, server: str) -> None:
+        """Send requests elsewhere that wait behind a broken path."""
+        for request_handler in tuple(self._handlers.values()):
+            request_handler.stop_unreachable(server)
+
 
 class RequestHandler:
     """Handler that answers one request, over one or more attempts."""
@@ -149,6 +155,8 @@
         self._origin = StreamOrigin(context.versions, self._call)
         self._output = StreamOutput(caller)
         self._receiver: AnswerReceiver | None = None
+        self._is_direct = True
+        self._may_repeat = False
 
     async def run(self) -> None:
         """Answer the request; cancelled when the caller disconnects."""
@@ -195,6 +203,16 @@
         if is_waiting and self._crash_check.is_blocked:
             self._receiver.abort('its prompt crashes servers')
 
+    def stop_unreachable(self, server: str) -> None:
+        """End an attempt that waits behind a broken path, if it may.
+
+        What must not be repeated is left alone: the server may be running it,
+        and the path may be back in time.
+        """
+        is_waiting = self._receiver is not None and self._is_direct
+        if is_waiting and self._may_repeat and self._server_name == server:
+            self._receiver.abort('the path to the server is broken')
+
     async def _admit(self) -> None:
         table = self._context.table()
         if table is None:
@@ -222,6 +240,7 @@
         service = route.pick_service(random.random())
         self._context.note_request(service)
         self._route_name = route.name
+        self._may_repeat = route.may_repeat
         if route.is_stream:
             self._parser = EventStreamParser(self._started_s)
         plan = _Plan(route, workspace, service, deadline_s, table)
@@ -251,7 +270,7 @@
             self._call,
             plan,
             Attempt(
-                self._ticket_id(),
+                f'{self._number}.{self._sends.run}.{self._sends.not_run}',
                 _now_s(),
                 self._avoid,
                 self._origin.version,
@@ -283,9 +302,11 @@
         if self._crash_check.is_blocked:
             # The prompt is at fault, not the server.
             ending = None
+        is_path_fault = self._is_direct and self._context.access.is_cut_off
         self._context.assigner.release(
             ticket,
-            failed=ending
+            failed=not is_path_fault
+            and ending
             in {AttemptOutcome.unsent, AttemptOutcome.lost, AttemptOutcome.cut},
             server_error=ending
             in {AttemptOutcome.failed, AttemptOutcome.declined},
@@ -297,15 +318,17 @@
         ticket: Ticket,
         view: ServerView,
     ) -> AttemptResult:
+        self._is_direct = True
         try:
-            connection = await self._context.backends.connect(
-                view.address,
+            passage = await self._context.access.open(
+                view,
                 # A late copy of an earlier attempt's answer, which has the
                 # same request id, must not arrive as the answer of this one.
                 fresh=self._sends.total > 0,
             )
         except ConnectError as error:
             return AttemptResult(AttemptOutcome.unsent, cause=str(error))
+        self._is_direct = passage.is_direct
         receiver = AnswerReceiver(
             self._call.call_id,
             self._parser,
@@ -320,14 +343,18 @@
             last_event_id=self._last_event_id(plan.route),
         )
         if context.remaining_s < MIN_ATTEMPT_S:
-            connection.cancel()
+            passage.connection.cancel()
             return AttemptResult(
                 AttemptOutcome.unsent,
                 cause='too little time left for an attempt',
             )
         self._crash_check.start_attempt()
-        with self._cancel_on_exit(receiver):
-            receiver.start(connection, encode_send(self._call, context))
+        with (
+            self._context.access.watch(passage, view) as on_data,
+            self._cancel_on_exit(receiver),
+        ):
+            receiver.on_data = on_data
+            receiver.start(passage.connection, encode_send(self._call, context))
             return await receiver.wait(
                 attempt_timeouts(plan.route, self._sends),
             )
@@ -539,9 +566,6 @@
     def _age_s(self) -> float:
         return _now_s() - self._started_s
 
-    def _ticket_id(self) -> str:
-        return f'{self._number}.{self._sends.run}.{self._sends.not_run}'
-
 
 @dataclass(frozen=True, slots=True)
 class _Plan:
--- a/src/siskinpass/process/fleet/members.py
+++ b/src/siskinpass/process/fleet/members.py
@@ -17,7 +17,7 @@
 from siskinpass.platform.objects import INSTANCES_KIND
 from siskinpass.process import codec
 from siskinpass.process import peer_pb2 as pb
-from siskinpass.process.fleet.roles import all_serving_members
+from siskinpass.process.fleet.roles import all_serving_members, relay_members
 from siskinpass.process.fleet.settings import FleetSettings
 from siskinpass.process.fleet.store_client import StoreClient
 from siskinpass.process.gossip import Gossip
@@ -73,6 +73,7 @@
         self._max_seen = 1
         self._is_registered = False
         self._caller_members: list[Member] = []
+        self._relay_members: list[Member] = []
         self._own = Member(
             settings.name,
             settings.peers,
@@ -107,6 +108,16 @@
         """Return the members that callers are sent to."""
         return self._caller_members
 
+    @property
+    def relay_members(self) -> list[Member]:
+        """Return the members that relay requests to servers."""
+        return self._relay_members
+
+    @property
+    def own(self) -> Member:
+        """Return this instance as it was at its start."""
+        return self._own
+
     def caller_names(self) -> list[str]:
         """Return the names of the members that callers are sent to."""
         return [member.name for member in self._caller_members]
@@ -308,6 +319,7 @@
         live = self.gossip.membership.live
         self._max_seen = max(self._max_seen, len(live))
         self._caller_members = all_serving_members(self.serving)
+        self._relay_members = relay_members(self.serving)
         self.links.update_addresses({
             member.name: member.peer_address
             for member in live
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -16,17 +16,30 @@
 from siskinpass.process.fleet.assigner import Assigner
 from siskinpass.process.fleet.budgets import RetryBudgets
 from siskinpass.process.fleet.crash_guard import CrashGuard
-from siskinpass.process.fleet.fact_topics import LEAVING, LIMITS, STREAMS
+from siskinpass.process.fleet.fact_topics import (
+    LEAVING,
+    LIMITS,
+    PATHS,
+    STREAMS,
+)
 from siskinpass.process.fleet.feed import StateFeed
 from siskinpass.process.fleet.forward import ForwardContext, Forwarder
 from siskinpass.process.fleet.kept_parts import KeptPartsLoader
+from siskinpass.process.fleet.listeners import Listeners
 from siskinpass.process.fleet.loads import LoadExchange
 from siskinpass.process.fleet.members import FleetMembers
 from siskinpass.process.fleet.notices import ServerNotices
 from siskinpass.process.fleet.peers import FleetPeerService
 from siskinpass.process.fleet.policy import fleet_policy
 from siskinpass.process.fleet.reader import StoreReader
+from siskinpass.process.fleet.relay_server import (
+    RELAY_LIMITS,
+    RelayContext,
+    RelayServer,
+)
+from siskinpass.process.fleet.relays import RELAY_PORT_STEP
 from siskinpass.process.fleet.roles import serving_members
+from siskinpass.process.fleet.server_access import AccessParts, ServerAccess
 from siskinpass.process.fleet.server_limits import ServerLimits
 from siskinpass.process.fleet.settings import FleetSettings
 from siskinpass.process.fleet.source import SourceParts, StateSource
@@ -44,7 +57,6 @@
 from siskinpass.request.retry_window import RetryWindow
 from siskinpass.request.ticket import PromptPlaced, ServerLoad, ServerView
 
-BACKLOG = 1024  # connections waiting for accept, sized for bursts
 # Short against RECOVERY_GRACE_S of ``known_servers``, which ends on a tick.
 TICK_S = 0.4
 DRAIN_TICK_S = 0.1  # the same against the grace time of a stopping process
@@ -53,6 +65,9 @@
 # expensive; a server's Keep-Alive header shortens the time.
 MAX_IDLE = 64
 BACKEND_POOL = PoolPolicy(connect_s=1.0, idle_s=60.0, max_idle=MAX_IDLE)
+# To relays; another one is asked if the first cannot be connected to soon.
+RELAY_CONNECT_S = 0.4
+RELAY_POOL = PoolPolicy(RELAY_CONNECT_S, idle_s=60.0, max_idle=MAX_IDLE)
 # Callers cache a directory answer for up to three times its TTL. With a shorter
 # TTL they leave a stopping instance sooner.
 DIRECTORY_TTL_S = 1
@@ -81,8 +96,7 @@
         )
         self._stopping = asyncio.Event()
         self._accepts_callers = False
-        self._callers: set[HttpCaller] = set()
-        self._listeners: list[asyncio.Server] = []
+        self._listeners = Listeners()
         self._tasks: list[asyncio.Task[None]] = []
         self._store = StoreClient(
             settings.store, self._count_store_call, settings.ip
@@ -102,8 +116,21 @@
             self._assigner.set_peer_loads,
             self._assigner.record_placement,
         )
+        self._access = ServerAccess(
+            AccessParts(
+                self._backends,
+                BackendPool(
+                    self._loop, replace(RELAY_POOL, local_host=settings.ip)
+                ),
+                self._members.own,
+                settings.store,
+                lambda: self._members.relay_members,
+                partial(PATHS.announce, self._loads),
+                lambda server: self._forwarder.stop_unreachable(server),
+            )
+        )
         self._guard = CrashGuard(
-            self._backends,
+            self._access.has_ended,
             self._store,
             self._loads,
             self._assigner.mark_ended,
@@ -152,7 +179,19 @@
                 settings.small_fleet,
             ),
         )
+        self._notices = ServerNotices(
+            self._pauses, self._limits, self._announce_leaving, self._metrics
+        )
         self._forwarder = Forwarder(self._forward_context())
+        self._relay = RelayServer(
+            RelayContext(
+                settings.store,
+                self._assigner.usable,
+                self._access.paths,
+                self._notices.receive,
+                self._metrics,
+            )
+        )
         self._subscribe()
 
     async def run(self) -> None:
@@ -176,6 +215,7 @@
         LEAVING.subscribe(self._loads, self._state.receive_leaving)
         LIMITS.subscribe(self._loads, self._limits.receive)
         STREAMS.subscribe(self._loads, self._versions.receive)
+        PATHS.subscribe(self._loads, self._access.reports.receive)
         self._guard.subscribe(self._apply_blocked)
 
     def _apply_blocked(self, added: Iterable[BlockedParts]) -> None:
@@ -211,16 +251,11 @@
         return ForwardContext(
             table=self._state.table,
             assigner=self._assigner,
-            backends=self._backends,
+            access=self._access,
             metrics=self._metrics,
             may_retry=budgets.spend,
             note_request=budgets.note_request,
-            on_notice=ServerNotices(
-                self._pauses,
-                self._limits,
-                self._announce_leaving,
-                self._metrics,
-            ).receive,
+            on_notice=self._notices.receive,
             guard=self._guard,
             versions=self._versions,
         )
@@ -243,11 +278,16 @@
         loads_port = settings.peer_port + LOADS_PORT_STEP
         await self._open_datagrams(gossip, settings.peer_port)
         await self._open_datagrams(self._loads, loads_port)
-        for work in (gossip, self._loads, self._assigner):
+        for work in (gossip, self._loads, self._assigner, self._access):
             self._start(work.run())
         self._start(self._tick())
         await self._listen(settings.readiness, self._serve_readiness)
         await self._listen(settings.metrics, self._serve_metrics)
+        await self._listeners.listen(
+            f'{settings.ip}:{settings.peer_port + RELAY_PORT_STEP}',
+            self._relay.serve,
+            lambda: RELAY_LIMITS,
+        )
 
     async def _join(self) -> None:
         await self._members.join()
@@ -282,22 +322,6 @@
             'The instance accepts callers.', version=self._state.version
         )
 
-    async def _listen(self, address: str, serve: Serve) -> None:
-        host, port = address.rsplit(':', 1)
-        listener = await self._loop.create_server(
-            partial(self._accept, serve),
-            host,
-            int(port),
-            backlog=BACKLOG,
-        )
-        self._listeners.append(listener)
-
-    def _accept(self, serve: Serve) -> HttpCaller:
-        caller = HttpCaller(self._state.caller_limits, serve)
-        caller.is_leaving = self._stopping.is_set()
-        self._callers.add(caller)
-        return caller
-
     async def _drain(self) -> None:
         """Stop accepting requests, finish the open ones and close."""
         deadline_s = self._loop.time() + self._settings.operator_bounds.grace_s
@@ -305,25 +329,24 @@
             'The instance is leaving.',
             open=self._forwarder.open_requests,
         )
-        for caller in self._callers:
-            caller.is_leaving = True
         self._start(self._members.leave(self._state.version))
         # Callers with a cached directory answer still connect.
-        await asyncio.sleep(CACHED_TTLS * self._directory_ttl_s)
-        for listener in self._listeners:
-            listener.close()
-        await asyncio.sleep(LATE_ARRIVAL_S)
-        for caller in self._callers:
-            caller.leave()
+        await self._listeners.close(
+            CACHED_TTLS * self._directory_ttl_s, LATE_ARRIVAL_S
+        )
         await self._finish_open(deadline_s - EXIT_MARGIN_S)
         self._log.note('The process ends.', cut=self._forwarder.open_requests)
 
     async def _finish_open(self, deadline_s: float) -> None:
-        while self._forwarder.open_requests and self._loop.time() < deadline_s:
+        while self._open_requests and self._loop.time() < deadline_s:
             await asyncio.sleep(DRAIN_TICK_S)
         # Gives the last answers time to reach their callers.
         await asyncio.sleep(DRAIN_TICK_S)
 
+    @property
+    def _open_requests(self) -> int:
+        return self._forwarder.open_requests + self._relay.open_requests
+
     def _reload(self) -> None:
         self._log.note('Ignored SIGHUP: no setting can be reloaded.')
 
@@ -333,7 +356,7 @@
             self._state.expire_missing()
             self._limits.refresh(self._assigner.servers)
             self._versions.refresh()
-            self._callers = {one for one in self._callers if one.is_open}
+            self._listeners.forget_closed()
 
     def _policy_for(self, pool: str) -> BrokerPolicy:
         table = self._state.table()
@@ -344,10 +367,14 @@
     def _update_servers(self, views: Iterable[ServerView]) -> None:
         given = tuple(views)
         self._assigner.set_servers(given)
+        self._access.paths.update_servers(given)
         self._limits.refresh(given)
         self._versions.list_servers(given)
         self._feed.publish_servers(given)
 
+    async def _listen(self, address: str, serve: Serve) -> None:
+        await self._listeners.listen(address, serve, self._state.caller_limits)
+
     def _load_sockets(self) -> list[tuple[str, int]]:
         """Return the sockets of the instances that need load reports.
 
--- a/src/siskinpass/process/fleet/roles.py
+++ b/src/siskinpass/process/fleet/roles.py
@@ -19,6 +19,8 @@
 # Instances of a zone that serve its callers at least, so that a caller has an
 # alternative if one fails.
 MIN_SERVING_IN_ZONE = 2
+# Instances that relay requests besides those that serve callers.
+SPARE_RELAYS = 8
 # Instances that always read the store and relay it to the others.
 READERS = 2
 # Further instances that read it when they are asked to, because no reader can
@@ -71,6 +73,19 @@
     return [chosen[name] for name in sorted(chosen)]
 
 
+def relay_members(members: Iterable[Member]) -> list[Member]:
+    """Return the members that relay requests for the others.
+
+    They are those that callers use, which have connections to servers, and a
+    few more in case all of these are cut off from the servers.
+    """
+    given = tuple(members)
+    chosen = all_serving_members(given)
+    names = {member.name for member in chosen}
+    rest = [member for member in given if member.name not in names]
+    return [*chosen, *_first(rest, SPARE_RELAYS)]
+
+
 def readers(members: Iterable[Member]) -> list[str]:
     """Return the names of the members that read the store for the others.
 
--- a/src/siskinpass/request/inbound.py
+++ b/src/siskinpass/request/inbound.py
@@ -195,6 +195,13 @@
         """Return whether the status is in the 2xx range."""
         return STATUS_OK <= self.status < STATUS_REDIRECT
 
+    def may_answer(self, call_id: str) -> bool:
+        """Return whether this may be the response to a request.
+
+        One to another request is a late copy, which the connection skips.
+        """
+        return not self.call_id or self.call_id == call_id
+
     @property
     def implies_not_run(self) -> bool:
         """Return whether callers take the status to mean "not run"."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -247,6 +247,7 @@
     :param version: version of its software, which its events show.
     :param is_framed: whether answers have a length or chunks; the others end
         with their connection.
+    :param streams: streams that it is sending now.
     """
 
     name: str
@@ -264,6 +265,7 @@
     on_crash: Callable[[], None] | None = None
     version: str = ''
     is_framed: bool = True
+    streams: int = 0
 
     async def __call__(self, request: Request) -> Response:
         """Return the response to a request.
@@ -342,6 +344,16 @@
             for _ in range(MAX_TRICKLED_BYTES):
                 yield b':'
                 await asyncio.sleep(TRICKLE_S)
+        self.streams += 1
+        try:
+            async for event in self._events(after, is_cut=is_cut):
+                yield event
+        finally:
+            self.streams -= 1
+
+    async def _events(
+        self, after: int, *, is_cut: bool
+    ) -> AsyncIterator[bytes]:
         for number in range(after + 1, self.events + 1):
             await asyncio.sleep(self.gap_s)
             if is_cut and number == after + 4:
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -28,7 +28,9 @@
     BROKEN,
     CLEARED,
 )
+from siskinpass.process.fleet.server_access import AccessParts, ServerAccess
 from siskinpass.process.fleet.watch import Listed
+from siskinpass.process.membership import Member
 from siskinpass.process.metrics import Metrics
 from siskinpass.request.identity import PREFIX
 from siskinpass.request.ticket import ServerView
@@ -44,11 +46,14 @@
 class Backends:
     """Servers of which none runs any more."""
 
+    def reuse(self, address):
+        """Return no idle connection."""
+
     async def connect(self, address, *, fresh):
         raise ConnectError(Code.backend_unreachable) from ConnectionRefusedError
 
 
-class SilentBackends:
+class SilentBackends(Backends):
     """Servers behind a path that carries nothing."""
 
     async def connect(self, address, *, fresh):
@@ -64,10 +69,9 @@
     def give_back(self):
         """Take back an idle connection that is still open."""
 
-    async def connect(self, address, *, fresh):
-        if asyncio.get_running_loop().time() < self._closed_s:
-            return self
-        return await super().connect(address, fresh=fresh)
+    def reuse(self, address):
+        is_open = asyncio.get_running_loop().time() < self._closed_s
+        return self if is_open else None
 
 
 class Store:
@@ -101,6 +105,14 @@
         }
 
 
+def access_without_others(backends):
+    """Return the access to servers of the only instance there is."""
+    own = Member('front-1', '127.0.0.1:1')
+    return ServerAccess(
+        AccessParts(backends, None, own, 'key', lambda: [own], None, None)
+    )
+
+
 class Bus:
     """Guards of some instances, and the announcements between them.
 
@@ -114,7 +126,7 @@
         self.ports = [Port(self, number) for number in range(count)]
         self.guards = [
             crash_guard.CrashGuard(
-                backends or Backends(),
+                access_without_others(backends or Backends()).has_ended,
                 store,
                 port,
                 lambda *server: self.ended.append(server),
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -1,10 +1,11 @@
 """Test instances that lose their paths to all backend servers."""
 
 import asyncio
+import signal
 
 import pytest
 
-from bench.fleet import WHOLE, running_fleet
+from bench.fleet import WHOLE, running_fleet, wait_until
 from bench.soak_checks import CONTACT_S
 from standins.paths import CUTS, PathState
 
@@ -98,3 +99,59 @@
             assert await served_at(fleet, ['front-1'], 'late') == 1
 
         run_fleet(scenario)
+
+
+class TestEndsOfServers:
+    """Test that a broken path does not count as the end of a server."""
+
+    @pytest.mark.parametrize('state', CUTS, ids=[one.value for one in CUTS])
+    def test_no_server_counts_as_ended(self, state):
+        """Neither to the instance that is cut off nor to the others."""
+
+        async def scenario(fleet):
+            await cut(fleet, ['front-1'], state)
+            await served_at(fleet, fleet.processes, 'cut')
+            await asyncio.sleep(CONTACT_S)
+            assert b'A server counts as ended.' not in fleet.log
+
+        run_fleet(scenario)
+
+
+class TestRelays:
+    """Test requests through instances that end meanwhile."""
+
+    @pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGKILL])
+    def test_end_of_the_relay_ends_no_answer_as_complete(self, number):
+        """A stopping one finishes what it relays; others take over."""
+
+        async def scenario(fleet):
+            await cut(fleet, ['front-1'], PathState.reset)
+            await served_at(fleet, ['front-1'], 'cut')
+            tries = asyncio.ensure_future(served_at(fleet, ['front-1'], 'end'))
+            await asyncio.sleep(ROUND_S)
+            fleet.processes['front-2'].send_signal(number)
+            served = await tries
+            runs = [run.headers['x-attempt-id'] for run in fleet.runs]
+            once = [call for call in runs if '/once/' in call]
+            assert len(once) == len(set(once))
+            assert served == 1 or number is signal.SIGKILL
+            assert served > SERVED_FRACTION
+
+        run_fleet(scenario)
+
+    def test_callers_that_leave_stop_the_server(self):
+        """The server of a relayed stream sees its connection close."""
+
+        async def scenario(fleet):
+            for server in fleet.servers:
+                server.gap_s = 0.2
+            await cut(fleet, ['front-1'], PathState.reset)
+            await served_at(fleet, ['front-1'], 'cut')
+            status, _ = await fleet.read_events('/plain-stream/x', 2)
+            assert status == STATUS_OK
+            await wait_until(
+                lambda: all(server.streams == 0 for server in fleet.servers),
+                'the servers to stop',
+            )
+
+        run_fleet(scenario)
