--- a/src/siskinpass/platform/directory.py
+++ b/src/siskinpass/platform/directory.py
@@ -11,9 +11,17 @@
 
 import orjson
 
+from siskinpass.exceptions import FormatError
+from siskinpass.platform.fields import (
+    as_table,
+    read_address,
+    read_field,
+    read_whole,
+)
 from siskinpass.process.membership import Member
 
 PATH = '/-/resolution'
+MAX_COUNT = 4_294_967_295  # of a 32-bit field
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,9 +68,24 @@
 def decode_member(body: Any) -> Member | None:
     """Return the instance that a stored membership record describes.
 
-    Returns ``None`` if the record has missing or unknown fields.
+    Returns ``None`` if a field is missing, of another type or out of range.
     """
     try:
-        return Member(**body)
-    except TypeError:
+        return _decode_member(as_table(body, 'instance'))
+    except FormatError:
         return None
+
+
+def _decode_member(table: dict[str, Any]) -> Member:
+    callers = table.get('caller_address')
+    return Member(
+        name=read_field(table, 'name', str),
+        peer_address=read_address(table, 'peer_address'),
+        caller_address=read_address(table, 'caller_address') if callers else '',
+        zone=read_field(table, 'zone', str, ''),
+        incarnation=read_whole(table, 'incarnation', 0),
+        counter=read_whole(table, 'counter', 0, MAX_COUNT),
+        state=read_whole(table, 'state', 0, MAX_COUNT),
+        tree_version=read_whole(table, 'tree_version', 0),
+        capacity=read_whole(table, 'capacity', 0, MAX_COUNT),
+    )
--- a/src/siskinpass/process/fleet/loads.py
+++ b/src/siskinpass/process/fleet/loads.py
@@ -23,6 +23,8 @@
 # An announcement is sent twice, since datagrams may be lost.
 ANNOUNCE_AGAIN_S = 0.3
 NS_PER_MS = 1_000_000
+# What an unexpected message can raise where it is read.
+UNREADABLE = (ValueError, TypeError, LookupError, AttributeError, OverflowError)
 EXPIRY_S = 3 * REPEAT_INTERVAL_S
 
 
@@ -142,7 +144,7 @@
         """Process one datagram; an unreadable one is logged and dropped."""
         try:
             self._decode(orjson.loads(datagram), addr)
-        except (ValueError, TypeError, KeyError) as error:
+        except UNREADABLE as error:
             self._log.warn(
                 'Dropped an unreadable load report.', cause=str(error)
             )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -27,6 +27,7 @@
 TRICKLE_S = 0.1
 MAX_TRICKLED_BYTES = 600
 DRAIN_S = 2.5  # from the announcement of a server's end to the end
+ODD = '@odd'  # value in an object, see ``ObjectStore.odd``
 RESTART_S = 0.5  # from the end of a server's process to its next start
 
 
@@ -39,6 +40,7 @@
     :ivar stalls_watches: whether watches get no response once there is a
         change to report; those without one still time out as usual.
     :ivar era: number of restores, plus one; stated in each answer.
+    :ivar odd: text of a JSON value that stands in answers in place of ``ODD``.
     """
 
     def __init__(self) -> None:
@@ -51,6 +53,7 @@
         self.is_down = False
         self.stalls_watches = False
         self.era: int | str = 1
+        self.odd = b'null'
 
     def copy(self) -> 'StoreCopy':
         """Return a copy of all objects, to restore later."""
@@ -99,7 +102,8 @@
             raise HangUpError
         response = await self._respond(request)
         headers = {**response.headers, 'Store-Era': str(self.era)}
-        return replace(response, headers=headers)
+        body = response.body.replace(b'"%b"' % ODD.encode(), self.odd)
+        return replace(response, headers=headers, body=body)
 
     async def _respond(self, request: Request) -> Response:
         kind, _, name = request.path.removeprefix(PREFIX).partition('/')
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,185 @@
+"""Test entries of other writers among those that instances read."""
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bench.fleet import (
+    free_ports,
+    running_fleet,
+    server_entry,
+    wait_until,
+)
+from siskinpass.exceptions import FormatError
+from siskinpass.platform.directory import decode_member
+from siskinpass.platform.objects import decode_list, decode_watch
+from siskinpass.platform.servers import decode_server
+from siskinpass.process.codec import encode_member, encode_server
+from siskinpass.process.fleet.loads import LoadExchange
+from standins.fleet import ODD, BackendServer
+from standins.http_server import serve
+
+GOOD = {'service': 'app', 'address': '10.0.0.1:80', 'state': 'ready'}
+MEMBER = {'name': 'front-9', 'peer_address': '10.0.0.1:7340'}
+DEEP = b'[' * 100_000 + b']' * 100_000
+ODD_VALUES = {
+    'deep list': DEEP,
+    'deep mapping': b'{"a":' * 2000 + b'1' + b'}' * 2000,
+    'large exponent': b'1e999',
+    'many digits': b'9' * 10_000,
+    'many decimals': b'-' + b'9' * 5000 + b'.5e9',
+    'half a character': b'"\x5cud800"',
+}
+ANYTHING = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats(allow_nan=False)
+    | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=5,
+)
+
+
+class TestServers:
+    """Test which entries name a server."""
+
+    @pytest.mark.parametrize(
+        'field',
+        [
+            {'slots': 2**63},
+            {'slots': 2**32},
+            {'slots': -4},
+            {'born': -1},
+            {'born': 2**64},
+            {'address': '10.0.0.1:99999'},
+            {'address': '10.0.0.1:0'},
+            {'address': '10.0.0.1:\N{SUPERSCRIPT TWO}'},
+            {'address': '10.0.0.1:' + '9' * 5000},
+            {'address': 'a b:80'},
+            {'address': ':80'},
+        ],
+        ids=lambda field: next(iter(field)),
+    )
+    def test_values_out_of_range_name_none(self, field):
+        """Nothing later has to reckon with them."""
+        with pytest.raises(FormatError):
+            decode_server('i-1', GOOD | field)
+
+    @pytest.mark.parametrize('name', ['a\r\nX-Tenant: w', '\N{SNOWMAN}'])
+    def test_names_that_no_header_holds_name_none(self, name):
+        """Requests to a server carry its name."""
+        with pytest.raises(FormatError):
+            decode_server(name, GOOD)
+
+    @given(st.dictionaries(st.sampled_from([*GOOD, 'slots', 'born']), ANYTHING))
+    def test_whatever_is_accepted_can_be_relayed(self, fields):
+        """An entry is refused, or other instances can be told of it."""
+        try:
+            view = decode_server('i-1', GOOD | fields)
+        except FormatError:
+            return
+        encode_server(view)
+
+    @given(
+        st.dictionaries(
+            st.sampled_from([*MEMBER, 'incarnation', 'state', 'zone']), ANYTHING
+        )
+    )
+    def test_instances_too(self, fields):
+        """The same for the records of instances."""
+        member = decode_member(MEMBER | fields)
+        if member is not None:
+            encode_member(member)
+            assert int(member.peer_address.rsplit(':', 1)[1])
+
+
+class TestPages:
+    """Test listings and changes of which one entry cannot be represented."""
+
+    @pytest.mark.parametrize('odd', ODD_VALUES.values(), ids=ODD_VALUES)
+    def test_the_other_entries_are_read(self, odd):
+        """Only the odd value is dropped."""
+        first = b'{"metadata":{"name":"a","revision":1},"spec":%b}' % odd
+        second = b'{"metadata":{"name":"b","revision":2},"spec":{"x":1.5}}'
+        page = decode_list(
+            b'{"items":[%b,%b],"has-more":false,"current-rev":9}'
+            % (first, second)
+        )
+        assert [one.name for one in page.stored] == ['a', 'b']
+        assert page.stored[1].body == {'x': 1.5}
+        assert page.revision == 9
+        changes = decode_watch(
+            b'{"events":[{"object":%b},{"object":%b}],"current-rev":9}'
+            % (first, second)
+        )
+        assert changes.stored[1].body == {'x': 1.5}
+
+    def test_what_is_not_json_is_refused(self):
+        """A page that breaks off is not taken for a shorter one."""
+        with pytest.raises(FormatError):
+            decode_list(b'{"items":[],"current-rev":9')
+
+
+class TestAnnouncements:
+    """Test messages of other instances."""
+
+    @pytest.mark.parametrize(
+        'message',
+        [DEEP, b'1', b'[1,2]', b'[1,2,3]', b'{"server":1}', b'[[],{},[[]]]'],
+    )
+    def test_unreadable_ones_are_dropped(self, message):
+        """The instance goes on."""
+
+        async def scenario():
+            exchange = LoadExchange(
+                'front-1', dict, list, lambda loads: None, lambda placed: None
+            )
+            exchange.subscribe('topic', lambda rows: rows[0].missing)
+            exchange.datagram_received(message, ('127.0.0.1', 1))
+            exchange.datagram_received(b'{"topic":[1]}', ('127.0.0.1', 1))
+            exchange.datagram_received(b'{"topic":[]}', ('127.0.0.1', 1))
+
+        asyncio.run(scenario())
+
+
+class TestFleet:
+    """Test a fleet whose registry has one odd entry."""
+
+    @pytest.mark.parametrize('small_fleet', [12, 1], ids=['read', 'follow'])
+    @pytest.mark.parametrize('odd', ODD_VALUES.values(), ids=ODD_VALUES)
+    def test_instances_go_on_and_learn_of_new_servers(self, odd, small_fleet):
+        """Both in changes and after a restart, from the whole list."""
+
+        async def scenario():
+            async with running_fleet(3, 1, small_fleet=small_fleet) as fleet:
+                fleet.store.odd = odd
+                await fleet.store.put(
+                    'servers', 'odd', server_entry(1) | {'slots': ODD}
+                )
+                await fleet.store.put('servers', 'odder', ODD)
+                server = BackendServer('i-new')
+                port = free_ports(1)[0]
+                listener = await serve(server, '127.0.0.1', port)
+                await fleet.store.put('servers', 'i-new', server_entry(port))
+                await fleet.store.remove('servers', 'i-0')
+                await serve_all(fleet, 'change')
+                await fleet.restart_all()
+                await serve_all(fleet, 'restart')
+                listener.close()
+
+        asyncio.run(asyncio.wait_for(scenario(), 90))
+
+
+async def serve_all(fleet, label):
+    """Wait until each instance uses the new server."""
+    for name, process in fleet.processes.items():
+
+        async def is_served(name=name):
+            answer = await fleet.ask('/safe/x', name=name, call=label)
+            return b'i-new' in answer.body
+
+        await wait_until(is_served, f'{name} to use the new server')
+        assert process.returncode is None
