--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -86,6 +86,11 @@
         """Return whether the connection is neither closed nor closing."""
         return not self._transport.is_closing()
 
+    @property
+    def is_reused(self) -> bool:
+        """Return whether the connection has carried an earlier request."""
+        return self.idle_until_s > 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the socket options."""
         self._transport = transport
--- a/src/siskinpass/process/fleet/answer.py
+++ b/src/siskinpass/process/fleet/answer.py
@@ -94,6 +94,7 @@
         self._body = bytearray()
         self._is_streaming = False
         self._rejection = ''
+        self._is_reused = False
         self._last_progress_s = 0.0
         self._has_progressed = False
         self._unreported_bytes = 0
@@ -111,6 +112,7 @@
     def start(self, connection: BackendConnection, request: bytes) -> None:
         """Send the request and start the timeouts of the attempt."""
         self._connection = connection
+        self._is_reused = connection.is_reused
         self._last_progress_s = self._loop.time()
         connection.send(request, self)
 
@@ -158,7 +160,7 @@
             self._on_notice(head.notice)
         self._head = head
         self._head_s = self._loop.time()
-        self._rejection = _rejection_of(head)
+        self._rejection = _rejection_of(head, is_reused=self._is_reused)
         if self._connection is not None and head.idle_s:
             idle_s = head.idle_s - IDLE_MARGIN_S
             self._connection.idle_s = max(MIN_IDLE_S, idle_s)
@@ -194,7 +196,7 @@
         self._connection = None
         if isinstance(error, ConnectError):
             self._end(AttemptResult(AttemptOutcome.unsent, cause=str(error)))
-        elif self._head is not None and self._head.not_run:
+        elif self._is_refusal:
             self._end(AttemptResult(AttemptOutcome.declined, self._head))
         else:
             self._end(self._broken_off(str(error) or 'closed'))
@@ -210,6 +212,11 @@
             self._writer.begin(self._head)
             self._writer.write(events)
 
+    @property
+    def _is_refusal(self) -> bool:
+        head = self._head
+        return head is not None and head.not_run and not self._rejection
+
     def _note_data(self) -> None:
         if self.on_data is not None:
             self.on_data()
@@ -230,7 +237,7 @@
 
     def _end_body(self) -> None:
         body = bytes(self._body)
-        if self._head.not_run:
+        if self._is_refusal:
             self._end(AttemptResult(AttemptOutcome.declined, self._head, body))
         elif self._head.is_success:
             self._end(AttemptResult(None, self._head, body))
@@ -258,13 +265,16 @@
             self.finished.set_result(attempt_result)
 
 
-def _rejection_of(head: AnswerHead) -> str:
+def _rejection_of(head: AnswerHead, *, is_reused: bool) -> str:
     """Return why an answer is rejected, empty for a valid one.
 
     It must carry the request id, must not be encoded and, if it reports
     success, must carry the server's receipt. An answer that states that the
-    request did not run needs none of these.
+    request did not run needs none of these, as long as it is the first one on
+    its connection.
     """
+    if head.is_doubtful(is_reused=is_reused):
+        return 'a refusal without a request id'
     if head.not_run:
         return ''
     if not head.call_id:
--- a/src/siskinpass/process/fleet/relay_client.py
+++ b/src/siskinpass/process/fleet/relay_client.py
@@ -177,6 +177,9 @@
     is asked only if the one before states that the server got nothing.
     """
 
+    # The relaying instance knows whether its connection was used before.
+    is_reused = False
+
     def __init__(
         self, client: RelayClient, target: RelayTarget, found: list[Relay]
     ) -> None:
--- a/src/siskinpass/process/fleet/relay_server.py
+++ b/src/siskinpass/process/fleet/relay_server.py
@@ -174,6 +174,7 @@
         Cancelled when the asking instance leaves, which stops the server.
         """
         self._on_data = on_data
+        self._connection = connection
         self._caller.on_writable = connection.set_reading
         connection.send(request, self)
         try:
@@ -188,6 +189,9 @@
         head = decode_answer(status, headers)
         if not head.may_answer(self._call_id):
             return False
+        if head.is_doubtful(is_reused=self._connection.is_reused):
+            self._break_off()
+            return True
         if head.notice is not None:
             self._on_notice(head.notice)
         self._status = status
@@ -211,6 +215,8 @@
 
     def receive_failure(self, error: BackendError) -> None:
         """Break the relayed answer off, or state that there is none."""
+        if self._finished.done():
+            return
         if self._status:
             self._caller.abort()
         else:
@@ -221,6 +227,12 @@
             )
         self._finish()
 
+    def _break_off(self) -> None:
+        """State that the server may have run the request."""
+        _state(self._caller, RelayOutcome.broken)
+        self._connection.cancel()
+        self._finish()
+
     def _finish(self) -> None:
         if not self._finished.done():
             self._finished.set_result(None)
--- a/src/siskinpass/request/inbound.py
+++ b/src/siskinpass/request/inbound.py
@@ -207,6 +207,14 @@
         """
         return not self.call_id or self.call_id == call_id
 
+    def is_doubtful(self, *, is_reused: bool) -> bool:
+        """Return whether this may be a late copy of an earlier refusal.
+
+        Without a request id, a statement that a request did not run proves
+        nothing on a connection that has carried another request.
+        """
+        return self.not_run and not self.call_id and is_reused
+
     @property
     def implies_not_run(self) -> bool:
         """Return whether callers take the status to mean "not run"."""
--- a/tests/test_facts.py
+++ b/tests/test_facts.py
@@ -18,7 +18,11 @@
     subject_of,
 )
 from siskinpass.process.fleet import fact_topics
-from siskinpass.process.fleet.server_limits import ServerLimit
+from siskinpass.process.fleet.path_reports import PathReport
+from siskinpass.process.fleet.server_limits import (
+    BrittleService,
+    ServerLimit,
+)
 from siskinpass.process.version_history import (
     STREAM_LIFE_S,
     StreamBegun,
@@ -116,6 +120,8 @@
     'blamed': ('bad', 'i-1/1'),
     'blocked': BlockedParts(frozenset(('a', 'b')), NOW_S),
     'streams': StreamBegun('s', 'app', 'v1', NOW_S),
+    'paths': PathReport('front-1', True, ('i-1', 'i-2'), NOW_S),
+    'brittle': BrittleService('app', 3.0, NOW_S),
 }
 
 
