--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -157,6 +157,8 @@
                 lambda: (
                     self._state.is_reachable or not self._members.is_isolated
                 ),
+                lambda: not self._members.is_isolated,
+                lambda: self._state.read_served(self._store),
                 lambda: self._store.era,
                 partial(STREAMS.announce, self._loads),
             ),
--- a/src/siskinpass/process/fleet/state.py
+++ b/src/siskinpass/process/fleet/state.py
@@ -8,8 +8,9 @@
 from siskinpass.exceptions import FormatError
 from siskinpass.platform.config import CONFIG_NAME, decode_config
 from siskinpass.platform.objects import StoredObject
-from siskinpass.platform.servers import decode_server
+from siskinpass.platform.servers import SERVERS_KIND, decode_server
 from siskinpass.process.blocked_parts import BlockedParts
+from siskinpass.process.fleet.store_client import StoreClient
 from siskinpass.process.fleet.watch import (
     Changed,
     Listed,
@@ -82,6 +83,22 @@
         """Return the services that have streams which may be resumed."""
         return self._table.resumable_services if self._table else frozenset()
 
+    async def read_served(
+        self, store: StoreClient
+    ) -> frozenset[tuple[str, str]]:
+        """Read the versions with servers of each service from the store.
+
+        :returns: pairs of service and version, of resumable services only.
+        :raises StoreError: if the store does not answer or reports an error.
+        """
+        page = await store.list_kind(SERVERS_KIND)
+        services = self.resumable_services()
+        return frozenset(
+            (view.pool, view.version)
+            for view in self._decode_views(page.stored)
+            if view.pool in services
+        )
+
     def caller_limits(self) -> CallerLimits:
         """Return the limits in force for requests, else the defaults."""
         return self._table.limits if self._table else CallerLimits()
--- a/src/siskinpass/process/fleet/stream_versions.py
+++ b/src/siskinpass/process/fleet/stream_versions.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import astuple, dataclass
 
 from siskinpass.codes import Code
@@ -57,6 +57,9 @@
     :param names: returns the instances that serve callers.
     :param is_connected: returns whether the instance hears of new servers, from
         the store or from other instances.
+    :param hears_others: returns whether other instances can be heard.
+    :param read_served: reads from the store which versions have servers;
+        raises the store's errors.
     :param era: returns the number of times that the store was restored.
     :param announce: sends streams to the other instances.
     """
@@ -64,6 +67,8 @@
     services: Callable[[], frozenset[str]]
     names: Callable[[], Iterable[str]]
     is_connected: Callable[[], bool]
+    hears_others: Callable[[], bool]
+    read_served: Callable[[], Awaitable[frozenset[ServiceVersion]]]
     era: Callable[[], int]
     announce: Callable[[Iterable[StreamBegun]], None]
 
@@ -99,7 +104,7 @@
         self._era = 0
         self._has_unrecorded = asyncio.Event()
         self._is_failing = False
-        self._lookup: asyncio.Task[None] | None = None
+        self._lookup: asyncio.Task[bool] | None = None
         self._background = BackgroundTasks()
         self._loop = asyncio.get_running_loop()
         self._next_write: asyncio.Future[None] = self._loop.create_future()
@@ -169,14 +174,14 @@
         :raises RefusedError: if it is not known.
         """
         stream, given = stream_name(call_id), tuple(services)
-        found = self._find(stream, given)
+        self._check_gap()
+        found = self._history.streams.find(stream, time.time())
         for number in range(LOOKUPS):
             if found is not None:
                 break
             if number:
                 await asyncio.sleep(LOOKUP_AGAIN_S)
-            await self._look_up()
-            found = self._find(stream, given)
+            found = await self._look_up_stream(stream, given)
         self._metrics.noticed('unknown stream' if found is None else 'take-up')
         if found is None:
             raise RefusedError(
@@ -213,15 +218,24 @@
             self._is_complete = False
             self._log.note('Missed some time.', gap_s=round(gap_s, 3))
 
-    def _find(
+    async def _look_up_stream(
         self, stream: str, services: tuple[str, ...]
     ) -> StreamBegun | None:
+        """Read from the store what began a stream.
+
+        Other instances may have begun it at servers that this one does not know
+        of yet; only a fresh answer of the store, or the others, exclude that.
+        """
+        is_fresh = await self._look_up()
         self._check_gap()
+        is_connected = self._sources.is_connected() and (
+            is_fresh or self._sources.hears_others()
+        )
         return self._history.origin(
             stream,
             services,
             time.time(),
-            is_complete=self._is_complete and self._sources.is_connected(),
+            is_complete=self._is_complete and is_connected,
         )
 
     def _update_mixed(self) -> None:
@@ -301,25 +315,33 @@
         key = f'{fact.service}/{fact.version}'
         return self._own in rank(key, names)[:RECORDERS]
 
-    async def _look_up(self) -> None:
-        """Read all records, together with other requests that wait for them."""
+    async def _look_up(self) -> bool:
+        """Read all records, together with other requests that wait for them.
+
+        :returns: whether the store answered.
+        """
         if self._lookup is None:
             self._lookup = asyncio.ensure_future(self._load())
             self._lookup.add_done_callback(self._end_lookup)
-        await asyncio.wait((self._lookup,))
+        lookup = self._lookup
+        await asyncio.wait((lookup,))
+        return lookup.result()
 
-    def _end_lookup(self, lookup: asyncio.Task[None]) -> None:
+    def _end_lookup(self, lookup: asyncio.Task[bool]) -> None:
         self._lookup = None
 
-    async def _load(self) -> None:
+    async def _load(self) -> bool:
         try:
-            streams, versions = await self._records.load()
+            served, (streams, versions) = await asyncio.gather(
+                self._sources.read_served(), self._records.load()
+            )
         except (StoreError, FormatError) as error:
             self._log.warn(
                 'The records of streams cannot be read.', cause=str(error)
             )
-            return
+            return False
         now_s = time.time()
+        versions.extend(VersionServed(*one, now_s) for one in served)
         self._history.streams.merge(streams, now_s)
         self._history.served.merge(versions, now_s)
         self._is_complete = True
@@ -329,3 +351,4 @@
             streams=len(streams),
             versions=[astuple(one)[:-1] for one in versions],
         )
+        return True
--- a/tests/test_version_lookup.py
+++ b/tests/test_version_lookup.py
@@ -36,12 +36,19 @@
     :ivar reads: how often they were read.
     """
 
-    def __init__(self, streams=(), versions=(), *, is_down=False):
+    def __init__(self, streams=(), versions=(), *, served=(), is_down=False):
+        self._served = served
         self._streams = list(streams)
         self._versions = list(versions)
         self._is_down = is_down
         self.reads = 0
 
+    async def read_served(self):
+        """Return the versions that the registry lists."""
+        if self._is_down:
+            raise StoreError(Code.store_down)
+        return frozenset(self._served)
+
     async def load(self):
         """Return the records, or fail as the store does."""
         self.reads += 1
@@ -62,12 +69,14 @@
     return made
 
 
-def make(records, *, is_connected=True, is_first_start=True):
+def make(records, *, is_connected=True, hears_others=True, is_first_start=True):
     """Return the owner of an instance before servers of version v1."""
     sources = stream_versions.VersionSources(
         services=lambda: frozenset(('app',)),
         names=lambda: ['a'],
         is_connected=lambda: is_connected,
+        hears_others=lambda: hears_others,
+        read_served=records.read_served,
         era=lambda: 1,
         announce=lambda streams: None,
     )
@@ -98,7 +107,12 @@
     @pytest.mark.parametrize(
         ('more', 'records', 'expected', 'reads'),
         [
-            ({}, {}, 'v1', 0),
+            ({}, {}, 'v1', 1),
+            ({}, {'streams': [BEGUN]}, 'v2', 1),
+            ({}, {'served': [('app', 'v2')]}, None, 2),
+            ({}, {'is_down': True}, 'v1', 1),
+            ({'hears_others': False}, {}, 'v1', 1),
+            ({'hears_others': False}, {'is_down': True}, None, 2),
             ({'is_first_start': False}, {}, 'v1', 1),
             ({'is_first_start': False}, {'versions': [OTHER]}, None, 2),
             ({'is_first_start': False}, {'streams': [BEGUN]}, 'v2', 1),
@@ -119,7 +133,8 @@
     @pytest.mark.parametrize(
         ('gap_s', 'expected'),
         [
-            (1.5, 'v1'),
+            (0.0, 'v2'),
+            (1.5, 'v2'),
             (2.5, 'v2'),
         ],
     )
