Soak cuts from all servers, brittle servers and servers that pause

The soak now cuts one or most instances off from all servers, in all ways of the stand-in paths, lets servers be brittle and then take fewer requests, and silences a server for a second; all beside releases, crashes, kills, stops, pauses and outages of the store, in series that overlap. Checked: first tries at instances that are cut off are served two thirds as often as elsewhere, from the contact time on; brittle servers fall over at most 2 + 0.1 times their number. Instances that are cut off stay bound by all other checks, but for the contact time after a cut begins or ends.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -430,6 +430,7 @@
         server_entry(free_ports(1)[0], version=version),
         causes,
         prepare,
+        fleet.paths,
     )
     await server.start()
     return server
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -17,7 +17,7 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import AsyncGenerator, Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
@@ -31,11 +31,14 @@
     start_crashing_server,
 )
 from bench.soak_checks import (
+    CONTACT_S,
     ONCE,
     SOUND,
     STATUS_OK,
     STREAM,
     Arrival,
+    Brittleness,
+    Cut,
     Disturbance,
     NamedLimit,
     Observations,
@@ -47,6 +50,7 @@
 from siskinpass.process.fleet.loads import ANNOUNCE_AGAIN_S
 from siskinpass.process.fleet.node import LOADS_PORT_STEP
 from standins.fleet import BackendServer, RestartingServer
+from standins.paths import CUTS, PathState
 
 SERVERS = 6
 QUIET_S = 2.5  # at the start, without requests that crash servers
@@ -60,6 +64,10 @@
 JUNK = bytes(1024)
 VERSION = re.compile(rb'data: [\w.]*x')  # in the events of a server
 MAX_SHOWN = 10  # violations
+CUT_S = (4.0, 7.0)  # of cuts, and of fewer slots at brittle servers
+BRITTLE_SLOTS = 12
+MAX_REFUSALS = 3
+SILENT_S = 1.0
 ENTRY_EXPIRY_S = 3.6  # of servers that have ended: three heartbeats
 PEER_PORT = 3  # of an instance's ports
 
@@ -114,6 +122,8 @@
         self._release_rng = random.Random(plan.seed + 2)
         self._retired: list[RestartingServer] = []
         self._limits: dict[str, NamedLimit] = {}
+        self._cut_off_names: frozenset[str] = frozenset()
+        self._is_brittle = False
         self.seen = Observations()
         self.counts: Counter[str] = Counter()
 
@@ -209,6 +219,10 @@
             self._storm,
             self._burst,
             self._end_server,
+            self._cut_off,
+            self._cut_off,
+            self._make_brittle,
+            self._silence_server,
         ]
 
     async def _name_limit(self) -> None:
@@ -337,6 +351,53 @@
     async def _end_server(self) -> None:
         self._rng.choice(self._servers).crash()
 
+    async def _cut_off(self) -> None:
+        """Cut one instance, or most of them, off from all servers."""
+        names = sorted(self._fleet.processes)
+        count = self._rng.choice((1, max(1, len(names) * 2 // 3)))
+        cut = frozenset(self._rng.sample(names, count)) - self._cut_off_names
+        sources = {self._fleet.ips[name] for name in cut}
+        state = self._rng.choice(CUTS)
+        self.counts[f'cut {state.value}'] += 1
+        start_s = self._excuse(cut)
+        self._cut_off_names |= cut
+        await self._fleet.paths.cut(sources, state)
+        await asyncio.sleep(self._rng.uniform(*CUT_S))
+        await self._fleet.paths.cut(sources, PathState.sound)
+        self._cut_off_names -= cut
+        self.seen.cuts.append(Cut(cut, start_s, self._excuse(cut)))
+
+    def _excuse(self, names: Iterable[str]) -> float:
+        """Excuse instances for the contact time; return the time."""
+        now_s = time.monotonic()
+        self.seen.disturbances.extend(
+            Disturbance(name, now_s, now_s) for name in names
+        )
+        return now_s
+
+    async def _make_brittle(self) -> None:
+        """Let servers end that turn requests away, and take fewer later."""
+        if self._is_brittle:
+            return
+        self._is_brittle = True
+        servers = [one for one in self._servers if one.is_serving]
+        processes = [one.process for one in servers]
+        for process in processes:
+            process.max_refusals = MAX_REFUSALS
+        await asyncio.sleep(CONTACT_S)
+        for process in processes:
+            process.slots = BRITTLE_SLOTS
+        await asyncio.sleep(self._rng.uniform(*CUT_S))
+        falls = sum(process.falls for process in processes)
+        for process in processes:
+            process.max_refusals, process.slots = None, 0
+        self.seen.brittle.append(Brittleness(len(processes), falls))
+        self._is_brittle = False
+
+    async def _silence_server(self) -> None:
+        server = self._rng.choice(self._servers)
+        server.process.silent_s = time.monotonic() + SILENT_S
+
     async def _release(self) -> None:
         """Release software versions in series that overlap."""
         ways = (
@@ -403,7 +464,10 @@
 
 async def _soak(plan: SoakPlan) -> SoakResult:
     async with running_fleet(
-        instances=plan.instances, servers=0, small_fleet=plan.small_fleet
+        instances=plan.instances,
+        servers=0,
+        small_fleet=plan.small_fleet,
+        has_paths=True,
     ) as fleet:
         servers = [
             await start_crashing_server(fleet, number, CAUSES, 'v0')
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -21,6 +21,14 @@
 SOUND = 'sound'
 ONCE = 'once'
 STREAM = 'take-up'
+# Share of the rate at the other instances by which callers of instances that
+# are cut off must be served, and failures that break the promise.
+CUT_FRACTION = 2 / 3
+CUT_FAILURES = 10
+CUT_FAILURE_SHARE = 1 / 50
+# Falls of brittle servers that are allowed, and the same for each server.
+FALLS = 2
+FALLS_SHARE = 0.1
 STATUS_OK = 200
 STATUS_REFUSED = 503
 # In the refusals of prompts and requests that crash servers.
@@ -84,6 +92,27 @@
     end_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """Time during which some instances had no path to any server."""
+
+    instances: frozenset[str]
+    start_s: float
+    end_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Brittleness:
+    """Time during which servers failed if they turned many requests away.
+
+    :param servers: number of servers.
+    :param falls: how many of their processes ended for that.
+    """
+
+    servers: int
+    falls: int
+
+
 @dataclass(frozen=True, slots=True)
 class TakeUp:
     """One attempt at a stream.
@@ -126,6 +155,8 @@
     disturbances: list[Disturbance] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
     streams: list[StreamSeen] = field(default_factory=list)
+    cuts: list[Cut] = field(default_factory=list)
+    brittle: list[Brittleness] = field(default_factory=list)
 
     def is_calm(self, instance: str, at_s: float) -> bool:
         """Return whether an instance and the store were without trouble.
@@ -157,6 +188,8 @@
         *_check_answers(seen),
         *_check_streams(seen),
         *_check_take_ups(seen),
+        *_check_cuts(seen),
+        *_check_brittle(seen),
     ]
 
 
@@ -306,3 +339,36 @@
             f'{share:.0%} of {len(taken_up)} take-ups went on; '
             f'{expected:.0%} of the new streams began'
         )
+
+
+def _check_cuts(seen: Observations) -> Iterable[str]:
+    """Check that callers of instances that are cut off are served too."""
+    for cut in seen.cuts:
+        tries = [
+            one
+            for one in seen.sent
+            if one.kind in {SOUND, ONCE}
+            and cut.start_s + CONTACT_S <= one.at_s <= cut.end_s
+            and seen.is_calm(one.instance, one.at_s)
+        ]
+        here = [one.is_right for one in tries if one.instance in cut.instances]
+        there = [
+            one.is_right for one in tries if one.instance not in cut.instances
+        ]
+        if not here or not there:
+            continue
+        allowed = CUT_FAILURES + CUT_FAILURE_SHARE * len(tries)
+        share, expected = sum(here) / len(here), sum(there) / len(there)
+        failures = len(here) - sum(here)
+        if share < CUT_FRACTION * expected and failures > allowed:
+            yield (
+                f'{share:.0%} of {len(here)} first tries were served at '
+                f'{sorted(cut.instances)}, which were cut off; {expected:.0%} '
+                f'of {len(there)} elsewhere'
+            )
+
+
+def _check_brittle(seen: Observations) -> Iterable[str]:
+    for one in seen.brittle:
+        if one.falls > FALLS + FALLS_SHARE * one.servers:
+            yield f'{one.falls} of {one.servers} brittle servers fell over'
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -20,6 +20,7 @@
     json_response,
     serve,
 )
+from standins.paths import ServerPaths
 
 PREFIX = '/-/objects/'
 FIRST_REVISION = 10
@@ -258,6 +259,8 @@
     :param max_refusals: requests that it may turn away in a second before its
         process ends, stated in each answer; ``None`` for any number.
     :param refused_s: when it turned requests away, on the event loop's clock.
+    :param falls: how often its process ended for that.
+    :param silent_s: time until which it sends nothing, on the same clock.
     """
 
     name: str
@@ -281,6 +284,8 @@
     working: int = 0
     max_refusals: int | None = None
     refused_s: list[float] = field(default_factory=list)
+    falls: int = 0
+    silent_s: float = 0.0
 
     async def __call__(self, request: Request) -> Response:
         """Return the response to a request.
@@ -288,6 +293,7 @@
         :raises HangUpError: if a fault closes the connection.
         """
         response = await self._respond_in_slot(request)
+        await self._wait_while_silent()
         if self.max_refusals is not None:
             stated = {'Server-Brittle': str(self.max_refusals)}
             response = replace(response, headers={**response.headers, **stated})
@@ -307,11 +313,16 @@
         finally:
             self.working -= 1
 
+    async def _wait_while_silent(self) -> None:
+        left_s = self.silent_s - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0, left_s))
+
     def _turn_away(self, request: Request) -> Response:
         now_s = asyncio.get_running_loop().time()
         self.refused_s.append(now_s)
         recent = sum(at_s > now_s - 1 for at_s in self.refused_s)
         if self.max_refusals is not None and recent > self.max_refusals:
+            self.falls += 1
             self.on_crash()
             raise HangUpError
         return Response(
@@ -399,6 +410,7 @@
     ) -> AsyncIterator[bytes]:
         for number in range(after + 1, self.events + 1):
             await asyncio.sleep(self.gap_s)
+            await self._wait_while_silent()
             if is_cut and number == after + 4:
                 yield b'id: '
                 raise HangUpError
@@ -436,6 +448,7 @@
     :param entry: registration without what changes at a start.
     :param causes: what ends a process.
     :param prepare: called with each of its processes before it serves.
+    :param paths: paths of instances to it, which refuse while it does not run.
     :ivar arrivals: requests that its processes ran, in order.
     :ivar crash_times_s: when processes ended, on the monotonic clock.
     :ivar processes: all of its processes, the current one last.
@@ -448,6 +461,7 @@
         entry: dict[str, Any],
         causes: CrashCauses,
         prepare: Callable[[BackendServer], None] | None = None,
+        paths: ServerPaths | None = None,
     ) -> None:
         self.name = name
         self._store = store
@@ -456,6 +470,7 @@
         self._listener: asyncio.Server | None = None
         self._causes = causes
         self._prepare = prepare
+        self._paths = paths
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_running = False
         self.restart_s = RESTART_S
@@ -498,6 +513,8 @@
         self.processes.append(server)
         host, port = self._entry['address'].rsplit(':', 1)
         self._listener = await serve(server, host, int(port), self._connections)
+        if self._paths is not None:
+            await self._paths.open(self._entry['address'])
         self._is_running = True
         await self.register()
 
@@ -529,8 +546,7 @@
         """End without a restart."""
         for task in self._tasks:
             task.cancel()
-        self._listener.close()
-        self._connections.abort()
+        self._end_process()
 
     def crash(self) -> None:
         """End the process at once; another one starts later."""
@@ -538,12 +554,17 @@
             return
         self._is_running = False
         self.crash_times_s.append(asyncio.get_running_loop().time())
-        self._listener.close()
-        self._connections.abort()
+        self._end_process()
         task = asyncio.get_running_loop().create_task(self._restart())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _end_process(self) -> None:
+        self._listener.close()
+        self._connections.abort()
+        if self._paths is not None:
+            self._paths.refuse(self._entry['address'])
+
     async def _restart(self) -> None:
         ended = self.process.name
         await asyncio.sleep(self.restart_s)
--- a/standins/paths.py
+++ b/standins/paths.py
@@ -8,7 +8,7 @@
 import asyncio
 import enum
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from contextlib import suppress
 from dataclasses import replace
 from typing import Any
@@ -77,6 +77,10 @@
         elif state in HANGING:
             self._hang()
 
+    def refuse(self) -> None:
+        """Refuse new connections, as the server does not run."""
+        self._stop_listening()
+
     def close(self) -> None:
         """Stop forwarding."""
         self._stop_listening()
@@ -158,6 +162,7 @@
         self._take_port = take_port
         self._paths: dict[tuple[str, str], Path] = {}
         self._states: dict[str, PathState] = {}
+        self._ended: set[str] = set()
 
     async def __call__(self, request: Request) -> Response:
         """Return the store's response with the addresses of paths."""
@@ -173,13 +178,32 @@
             one['spec'] = await self._redirect(request.source, one['spec'])
         return replace(response, body=orjson.dumps(page))
 
-    async def cut(self, sources: Iterable[str], state: PathState) -> None:
+    async def cut(self, sources: Collection[str], state: PathState) -> None:
         """Change all paths of some instances, given by their addresses."""
         for source in sources:
             self._states[source] = state
-        for (source, _), path in tuple(self._paths.items()):
-            if source in self._states:
-                await path.switch(self._states[source])
+        for (source, address), path in tuple(self._paths.items()):
+            if source in sources:
+                await self._switch(source, address, path)
+
+    async def open(self, address: str) -> None:
+        """Open the paths to a server that has started."""
+        self._ended.discard(address)
+        for (source, target), path in tuple(self._paths.items()):
+            if target == address:
+                await self._switch(source, address, path)
+
+    def refuse(self, address: str) -> None:
+        """Refuse connections to a server that has ended."""
+        self._ended.add(address)
+        for (_, target), path in self._paths.items():
+            if target == address:
+                path.refuse()
+
+    async def _switch(self, source: str, address: str, path: Path) -> None:
+        await path.switch(self._states.get(source, PathState.sound))
+        if address in self._ended:
+            path.refuse()
 
     def close(self) -> None:
         """Close all paths."""
@@ -197,8 +221,5 @@
         if path is None:
             path = Path(int(port), self._take_port())
             self._paths[source, address] = path
-            await path.switch(PathState.sound)
-            state = self._states.get(source, PathState.sound)
-            if state is not PathState.sound:
-                await path.switch(state)
+            await self._switch(source, address, path)
         return entry | {'address': f'{HOST}:{path.port}'}
