--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -329,6 +329,12 @@
         except ConnectError as error:
             return AttemptResult(AttemptOutcome.unsent, cause=str(error))
         self._is_direct = passage.is_direct
+        if not passage.is_direct:
+            self._context.log.routine(
+                'A request goes through another instance.',
+                call=self._call.call_id,
+                server=view.name,
+            )
         receiver = AnswerReceiver(
             self._call.call_id,
             self._parser,
--- a/src/siskinpass/process/fleet/relay_client.py
+++ b/src/siskinpass/process/fleet/relay_client.py
@@ -254,6 +254,9 @@
         except ConnectError:
             return RelayOutcome.declined
         self._connection = connection
+        self._log.routine(
+            'A relay is asked.', server=self._target.server, relay=relay.name
+        )
         if not self._is_reading:
             connection.set_reading(on=False)
         connection.send(wrapped, relay_sink)
--- a/src/siskinpass/process/fleet/relay_server.py
+++ b/src/siskinpass/process/fleet/relay_server.py
@@ -124,10 +124,12 @@
             _state(caller, await self._find_outcome(error))
             return
         self._context.metrics.noticed('relayed')
+        call = decode_call(request).call_id
+        self._log.routine('A request is relayed.', call=call, server=view.name)
         sent_s = asyncio.get_running_loop().time()
         passage = _Passage(
             caller,
-            decode_call(request).call_id,
+            call,
             partial(self._context.on_notice, view, sent_s),
         )
         with paths.watch(view) as on_data:
