--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -109,9 +109,15 @@
         """Neither to the instance that is cut off nor to the others."""
 
         async def scenario(fleet):
+            for server in fleet.servers:
+                server.gap_s = ROUND_S
+            open_streams = asyncio.ensure_future(
+                served_at(fleet, fleet.processes, 'open')
+            )
+            await asyncio.sleep(ROUNDS * ROUND_S)
             await cut(fleet, ['front-1'], state)
             await served_at(fleet, fleet.processes, 'cut')
-            await asyncio.sleep(CONTACT_S)
+            await open_streams
             assert b'A server counts as ended.' not in fleet.log
 
         run_fleet(scenario)
