--- a/src/siskinpass/process/fleet/relay_server.py
+++ b/src/siskinpass/process/fleet/relay_server.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from functools import partial
 
@@ -95,11 +95,23 @@
             if request.header(PROBE) is None
             else self._probe(caller, view)
         )
-        task = asyncio.get_running_loop().create_task(work)
+        task = asyncio.get_running_loop().create_task(self._run(caller, work))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         caller.on_lost = task.cancel
 
+    async def _run(
+        self, caller: HttpCaller, work: Coroutine[None, None, None]
+    ) -> None:
+        try:
+            await work
+        except Exception as error:
+            self._log.warn(
+                'A relay failed with an internal error.', cause=repr(error)
+            )
+            caller.abort()
+            raise
+
     async def _probe(self, caller: HttpCaller, view: ServerView) -> None:
         try:
             connection = await self._context.paths.connect(view)
