Rename the connections and answers that relays handle

No change of behaviour: OpenConnection, _AnswerRelay and find_usable say what they hold; the socket options say that a user timeout decides over the count of probes.

--- a/src/siskinpass/connection/sockets.py
+++ b/src/siskinpass/connection/sockets.py
@@ -11,8 +11,9 @@
 
     :param idle_s: idle time before the first keep-alive probe.
     :param interval_s: time between probes.
-    :param probes: number of unanswered probes that close the connection.
-    :param user_timeout_ms: longest time that sent data may stay
+    :param probes: number of unanswered probes that close the connection, where
+        no user timeout is set.
+    :param user_timeout_ms: longest time that sent data or probes may stay
         unacknowledged.
     """
 
--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -191,7 +191,7 @@
                 Code.version_gone, retry_after_ms=int(RETRY_GONE_S * MS_PER_S)
             )
 
-    def usable(self, name: str) -> ServerView | None:
+    def find_usable(self, name: str) -> ServerView | None:
         """Return the server of a name if requests may be sent to it now."""
         view = self._views.get(name)
         return view if view is not None and self._may_use(view) else None
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -320,7 +320,7 @@
     ) -> AttemptResult:
         self._is_direct = True
         try:
-            passage = await self._context.access.open(
+            opened = await self._context.access.open(
                 view,
                 # A late copy of an earlier attempt's answer, which has the
                 # same request id, must not arrive as the answer of this one.
@@ -328,8 +328,8 @@
             )
         except ConnectError as error:
             return AttemptResult(AttemptOutcome.unsent, cause=str(error))
-        self._is_direct = passage.is_direct
-        if not passage.is_direct:
+        self._is_direct = opened.is_direct
+        if not opened.is_direct:
             self._context.log.routine(
                 'A request goes through another instance.',
                 call=self._call.call_id,
@@ -349,18 +349,18 @@
             last_event_id=self._last_event_id(plan.route),
         )
         if context.remaining_s < MIN_ATTEMPT_S:
-            passage.connection.cancel()
+            opened.connection.cancel()
             return AttemptResult(
                 AttemptOutcome.unsent,
                 cause='too little time left for an attempt',
             )
         self._crash_check.start_attempt()
         with (
-            self._context.access.watch(passage, view) as on_data,
+            self._context.access.watch(opened, view) as on_data,
             self._cancel_on_exit(receiver),
         ):
             receiver.on_data = on_data
-            receiver.start(passage.connection, encode_send(self._call, context))
+            receiver.start(opened.connection, encode_send(self._call, context))
             return await receiver.wait(
                 attempt_timeouts(plan.route, self._sends),
             )
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -190,7 +190,7 @@
         self._relay = RelayServer(
             RelayContext(
                 settings.store,
-                self._assigner.usable,
+                self._assigner.find_usable,
                 self._access.paths,
                 self._notices.receive,
                 self._metrics,
--- a/src/siskinpass/process/fleet/relay_server.py
+++ b/src/siskinpass/process/fleet/relay_server.py
@@ -139,13 +139,13 @@
         call = decode_call(request).call_id
         self._log.routine('A request is relayed.', call=call, server=view.name)
         sent_s = asyncio.get_running_loop().time()
-        passage = _Passage(
+        relayed = _AnswerRelay(
             caller,
             call,
             partial(self._context.on_notice, view, sent_s),
         )
         with paths.watch(view) as on_data:
-            await passage.run(connection, unwrap_request(request), on_data)
+            await relayed.run(connection, unwrap_request(request), on_data)
 
     async def _find_outcome(self, error: ConnectError) -> RelayOutcome:
         """Return whether the server is at fault or this instance's paths."""
@@ -157,7 +157,7 @@
         return RelayOutcome.all_refused if is_refused else RelayOutcome.cut_off
 
 
-class _Passage(AnswerSink):
+class _AnswerRelay(AnswerSink):
     """Pass one answer of a server on to the asking instance.
 
     :param call_id: request id that the answer must carry.
--- a/src/siskinpass/process/fleet/server_access.py
+++ b/src/siskinpass/process/fleet/server_access.py
@@ -30,7 +30,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Passage:
+class OpenConnection:
     """Open connection to a server.
 
     :param is_direct: whether it is this instance's own.
@@ -88,7 +88,7 @@
         """Return whether no server is known to be reached directly."""
         return self.paths.is_cut_off
 
-    async def open(self, view: ServerView, *, fresh: bool) -> Passage:
+    async def open(self, view: ServerView, *, fresh: bool) -> OpenConnection:
         """Return a connection to a server, through another instance if need be.
 
         :param fresh: whether a new connection must be used.
@@ -96,19 +96,19 @@
         """
         idle = None if fresh else self.paths.reuse(view)
         if idle is not None:
-            return Passage(idle, is_direct=True)
+            return OpenConnection(idle, is_direct=True)
         if not self.paths.is_open(view):
             relayed = self._relays.open(view, fresh=fresh)
             if relayed is not None:
-                return Passage(relayed, is_direct=False)
-        return Passage(await self.paths.connect(view), is_direct=True)
+                return OpenConnection(relayed, is_direct=False)
+        return OpenConnection(await self.paths.connect(view), is_direct=True)
 
-    def watch(self, passage: Passage, view: ServerView) -> Watching:
+    def watch(self, opened: OpenConnection, view: ServerView) -> Watching:
         """Watch a request on a connection; yields a function to call on data.
 
         It is ``None`` for a relayed one, whose data says nothing of own paths.
         """
-        if passage.is_direct:
+        if opened.is_direct:
             return self.paths.watch(view)
         return nullcontext()
 
