--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -271,6 +271,7 @@
     def __init__(self) -> None:
         self._lock, first = self._reserve()
         self._ports = itertools.cycle(range(first + 1, first + BLOCK_PORTS))
+        self._held: set[int] = set()
 
     def take(self, count: int) -> list[int]:
         """Return TCP ports that nothing listens on.
@@ -282,10 +283,22 @@
         found: list[int] = []
         while len(found) < count:
             port = next(self._ports)
+            if port in self._held:
+                continue
             with suppress(OSError), socket.create_server(('127.0.0.1', port)):
                 found.append(port)
         return found
 
+    def hold(self) -> int:
+        """Take a port that nothing else gets, also while nothing listens."""
+        port = self.take(1)[0]
+        self._held.add(port)
+        return port
+
+    def release(self) -> None:
+        """Release all ports that are held."""
+        self._held.clear()
+
     def _reserve(self) -> tuple[socket.socket, int]:
         for first in range(MIN_PORT, MAX_PORT - BLOCK_PORTS, BLOCK_PORTS):
             with suppress(OSError):
@@ -371,7 +384,8 @@
         fleet = Fleet(ObjectStore(), [], small_fleet)
         fleet.ports['store'] = free_ports(1)
         if has_paths:
-            fleet.paths = ServerPaths(fleet.store, lambda: free_ports(1)[0])
+            fleet.paths = ServerPaths(fleet.store, _port_block().hold)
+            stack.callback(_port_block().release)
             stack.callback(fleet.paths.close)
         await _listen(
             stack, fleet.paths or fleet.store, fleet.ports['store'][0]
