--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -17,6 +17,11 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 8.0
 MAX_IDLE_PER_SERVER = 64
+# The server closes an idle connection after the keep-alive time that it states.
+# The connection is not reused in the last part of that time, because a request
+# could cross with the close.
+IDLE_MARGIN_S = 1.0
+MIN_IDLE_S = 0.2
 # Bytes that may arrive without any of them belonging to the response's body: a
 # head, interim responses, or a response to another request.
 MAX_UNUSED_BYTES = 262_144
@@ -158,6 +163,14 @@
         if self.is_open:
             self._on_idle(self)
 
+    def limit_idle(self, stated_s: float) -> None:
+        """Limit how long the connection may be idle before it is reused.
+
+        :param stated_s: how long the server keeps it open, 0 if unknown.
+        """
+        if stated_s:
+            self.idle_s = max(MIN_IDLE_S, stated_s - IDLE_MARGIN_S)
+
     def cancel(self) -> None:
         """Close the connection at once, so that the backend server stops."""
         self._sink = None
--- a/src/siskinpass/process/fleet/answer.py
+++ b/src/siskinpass/process/fleet/answer.py
@@ -14,11 +14,6 @@
 from siskinpass.request.resend import AttemptOutcome
 from siskinpass.request.timeouts import AttemptTimeouts
 
-# The server closes an idle connection after the keep-alive time that it states.
-# The connection is not reused in the last part of that time, because a request
-# could cross with the close.
-IDLE_MARGIN_S = 1.0
-MIN_IDLE_S = 0.2
 # Longest answer that is kept until its end. The platform's own pages are at
 # most as large.
 MAX_BODY_BYTES = 4_194_304
@@ -161,9 +156,8 @@
         self._head = head
         self._head_s = self._loop.time()
         self._rejection = _rejection_of(head, is_reused=self._is_reused)
-        if self._connection is not None and head.idle_s:
-            idle_s = head.idle_s - IDLE_MARGIN_S
-            self._connection.idle_s = max(MIN_IDLE_S, idle_s)
+        if self._connection is not None:
+            self._connection.limit_idle(head.idle_s)
         if self._parser is not None and head.is_success and not self._rejection:
             self._is_streaming = True
         return True
--- a/src/siskinpass/process/fleet/relay_client.py
+++ b/src/siskinpass/process/fleet/relay_client.py
@@ -191,7 +191,6 @@
         self._background = BackgroundTasks()
         self._task: asyncio.Task[None] | None = None
         self._log = ComponentLog('relay')
-        self.idle_s = 0.0
 
     def send(self, request: bytes, sink: AnswerSink) -> None:
         """Send a request and pass its response to the sink."""
@@ -201,6 +200,9 @@
     def give_back(self) -> None:
         """Nothing was sent; there is nothing to give back."""
 
+    def limit_idle(self, stated_s: float) -> None:
+        """Do nothing: the relay keeps the connection to the server."""
+
     def cancel(self) -> None:
         """Close the connection at once, so that the server stops."""
         if self._task is not None:
--- a/src/siskinpass/process/fleet/relay_server.py
+++ b/src/siskinpass/process/fleet/relay_server.py
@@ -208,6 +208,7 @@
             return True
         if head.notice is not None:
             self._on_notice(head.notice)
+        self._connection.limit_idle(head.idle_s)
         self._status = status
         self._headers = encode_answer_headers(headers)
         if status not in STATUSES_WITHOUT_BODY:
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -15,6 +15,8 @@
 PATHS = ('/safe/x', '/once/x', '/stream/x', '/plain-stream/x')
 ROUNDS = 6
 ROUND_S = 0.15
+RELAYED = 3
+KEEP_ALIVE_S = 1.0
 CUT_NAMES = (('front-1',), ('front-1', 'front-2', 'front-3'))
 
 
@@ -161,3 +163,25 @@
             )
 
         run_fleet(scenario)
+
+    def test_connections_are_not_reused_beyond_the_stated_time(self):
+        """The relay's connection to a server keeps to what the server says."""
+
+        async def scenario(fleet):
+            for server in fleet.servers:
+                server.notices['Keep-Alive'] = 'timeout=1'
+                fleet.connections[server.name].abort()
+            await cut(fleet, ['front-1'], PathState.reset)
+            for number in range(RELAYED):
+                assert await ask(fleet, 'front-1', '/safe/x', f'a-{number}')
+            await asyncio.sleep(KEEP_ALIVE_S)
+            before = accepted(fleet)
+            assert await ask(fleet, 'front-1', '/safe/x', 'late')
+            assert accepted(fleet) > before
+
+        run_fleet(scenario, instances=2, servers=1)
+
+
+def accepted(fleet):
+    """Return how many connections the servers have accepted."""
+    return sum(one.accepted for one in fleet.connections.values())
