Try a server before stating that a relay does not reach it (RECOVER)

The kept logs show it: after one server had ended, the asking instance and both relays had seen only that connection fail and presumed their paths broken; a relay verified that they were not, but had already given up on the server that was asked for, and stated that it was unreachable. And each further failure of the ended server made the presumption come back.

Now a relay verifies first and then tries the server; only the first of several failures in a row says something about other paths.

--- a/src/siskinpass/process/fleet/own_paths.py
+++ b/src/siskinpass/process/fleet/own_paths.py
@@ -89,7 +89,8 @@
         idle = None if fresh else self.reuse(view)
         if idle is not None:
             return idle
-        if not self.is_open(view):
+        has_failed = view.name in self._health.failed
+        if has_failed or not await self.reaches_any():
             raise ConnectError(
                 Code.backend_unreachable, 'the path to the server is broken'
             )
--- a/src/siskinpass/process/path_health.py
+++ b/src/siskinpass/process/path_health.py
@@ -23,6 +23,9 @@
     def __init__(self) -> None:
         # Start of the connection attempt that failed.
         self._failed_s: dict[str, float] = {}
+        # The same of the first of several that failed in a row. Only that one
+        # says something about the paths to other servers.
+        self._broken_s: dict[str, float] = {}
         self._data_s: dict[str, float] = {}
         self._pending_s: dict[str, float] = {}
         self._pending: dict[str, int] = {}
@@ -36,7 +39,7 @@
     @property
     def is_cut_off(self) -> bool:
         """Return whether nothing shows that any server can be reached."""
-        latest_s = max(self._failed_s.values(), default=-math.inf)
+        latest_s = max(self._broken_s.values(), default=-math.inf)
         return latest_s > self._success_s
 
     def may_connect(self, server: str) -> bool:
@@ -53,6 +56,7 @@
     def note_connected(self, server: str, now_s: float) -> None:
         """Record that a new connection to a server was opened."""
         self._failed_s.pop(server, None)
+        self._broken_s.pop(server, None)
         self.note_data(server, now_s)
 
     def note_failed(self, server: str, started_s: float) -> None:
@@ -62,6 +66,7 @@
         """
         known_s = self._failed_s.get(server, -math.inf)
         self._failed_s[server] = max(known_s, started_s)
+        self._broken_s.setdefault(server, started_s)
 
     def note_data(self, server: str, now_s: float) -> None:
         """Record that data of a server arrived."""
@@ -99,4 +104,5 @@
         names = set(listed)
         for server in (self._failed_s.keys() | self._data_s.keys()) - names:
             self._failed_s.pop(server, None)
+            self._broken_s.pop(server, None)
             self._data_s.pop(server, None)
--- a/tests/test_path_health.py
+++ b/tests/test_path_health.py
@@ -65,6 +65,17 @@
                 True,
                 True,
             ),
+            # One that failed before fails again, which says nothing new.
+            (
+                (
+                    ('note_failed', 'b', 1),
+                    ('note_data', 'c', 2),
+                    ('note_failed', 'b', 3),
+                ),
+                False,
+                True,
+                True,
+            ),
             (
                 (('note_failed', 'a', 1), ('keep_only', ('b',))),
                 False,
