Cut single instances off where some follow the list of another (soak)

Cause: the stand-in listed each server at an address for each instance that reads the store. Followers got the addresses of the instance that they follow, so that a cut of that one cut all of them off, and the check took them for sound or for cut off by their names.

Ruled out: a stop or restart at the same moment (the trace has none within the contact time), the store (it was back 3 s before the cut).

Change: where instances follow others, one path to a server is shared by all and told apart by the address that a connection comes from: a packet filter on the listener drops connections that are to get no answer, those to be refused are accepted and reset. Fleets in which each instance reads the store keep a path each, which really refuses.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -377,14 +377,18 @@
 
     Entered once all instances are ready and accept connections.
 
-    :param has_paths: whether each instance that reads the store reaches each
-        server by a path of its own, which can be cut.
+    :param has_paths: whether the paths from each instance to all servers can
+        be cut.
     """
     async with AsyncExitStack() as stack:
         fleet = Fleet(ObjectStore(), [], small_fleet)
         fleet.ports['store'] = free_ports(1)
         if has_paths:
-            fleet.paths = ServerPaths(fleet.store, _port_block().hold)
+            fleet.paths = ServerPaths(
+                fleet.store,
+                _port_block().hold,
+                is_shared=instances > small_fleet,
+            )
             stack.callback(_port_block().release)
             stack.callback(fleet.paths.close)
         await _listen(
--- a/standins/paths.py
+++ b/standins/paths.py
@@ -1,26 +1,26 @@
 """Network paths from single instances to backend servers, which can be cut.
 
-The store lists each server to each instance at an address of its own, where a
-proxy forwards to the server. Instances are told apart by the address that they
-connect to the store from.
+The store lists servers at the addresses of proxies, which forward to them.
+Instances are told apart by the address that they connect from.
 """
 
 import asyncio
 import enum
 import socket
+import struct
+from collections import defaultdict
 from collections.abc import Callable, Collection
-from contextlib import suppress
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import orjson
 
 from standins.http_server import Handler, Request, Response
+from standins.packet_filter import drop_packets
 
 READ_BYTES = 65536
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)  # linger for no time
 HOST = '127.0.0.1'
-# Connections that fill the accept queue of a listener that accepts none.
-FILLING = 3
 SERVERS_PATH = '/-/objects/servers'
 
 
@@ -43,125 +43,126 @@
 
 CUTS = tuple(state for state in PathState if state is not PathState.sound)
 HANGING = frozenset((PathState.silent, PathState.one_way))
+REFUSING = frozenset((PathState.reset, PathState.refused))
+
+
+@dataclass(slots=True)
+class Source:
+    """Paths of one instance to all servers.
+
+    :param to_server: set while connections carry data to servers.
+    :param from_server: the same of data from servers.
+    """
+
+    state: PathState = PathState.sound
+    to_server: asyncio.Event = field(default_factory=asyncio.Event)
+    from_server: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def __post_init__(self) -> None:
+        """Carry data both ways."""
+        self.switch(self.state)
+
+    def switch(self, state: PathState) -> None:
+        """Change how connections are treated from now on."""
+        self.state = state
+        _set(self.to_server, on=state is not PathState.silent)
+        _set(self.from_server, on=state not in HANGING)
 
 
 class Path:
-    """Proxy between one instance and one server.
+    """Proxy to one server, for one instance or for all of them.
 
     :param target: port of the server.
-    :param port: port that the instance connects to.
+    :param port: port that instances connect to.
+    :param owner: address of the only instance that uses it, empty for all.
+        Where all share it, new connections that are to be refused are accepted
+        and reset.
     """
 
-    def __init__(self, target: int, port: int) -> None:
+    def __init__(
+        self, target: int, port: int, owner: str, sources: dict[str, Source]
+    ) -> None:
         self._target = target
-        self._state = PathState.sound
-        self._flows = {True: asyncio.Event(), False: asyncio.Event()}
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._owner = owner
+        self._sources = sources
+        self._writers: dict[asyncio.StreamWriter, str] = {}
         self._listener: asyncio.Server | None = None
-        self._sockets: list[socket.socket] = []
         self.port = port
 
-    async def switch(self, state: PathState) -> None:
-        """Change how connections are treated from now on."""
-        self._state = state
-        self._stop_listening()
-        if state is PathState.reset:
-            for writer in tuple(self._writers):
-                writer.transport.abort()
-        self._set_flow(to_server=True, on=state is not PathState.silent)
-        self._set_flow(to_server=False, on=state not in HANGING)
-        if state is PathState.sound:
+    async def update(self) -> None:
+        """Treat connections as the states of their sources say."""
+        for writer, source in tuple(self._writers.items()):
+            if self._sources[source].state is PathState.reset:
+                _reset(writer)
+        if self._sources[self._owner].state in REFUSING:
+            self.refuse()
+            return
+        if self._listener is None:
             self._listener = await asyncio.start_server(
                 self._accept, HOST, self.port
             )
-        elif state in HANGING:
-            self._hang()
+        hanging = [
+            name for name, one in self._sources.items() if one.state in HANGING
+        ]
+        drop_packets(_socket_of(self._listener), hanging)
 
     def refuse(self) -> None:
-        """Refuse new connections, as the server does not run."""
-        self._stop_listening()
+        """Refuse all new connections."""
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
 
     def close(self) -> None:
         """Stop forwarding."""
-        self._stop_listening()
+        self.refuse()
         for writer in tuple(self._writers):
             writer.transport.abort()
 
-    def _stop_listening(self) -> None:
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
-        for sock in self._sockets:
-            sock.close()
-        self._sockets = []
-
-    def _hang(self) -> None:
-        """Listen with a full accept queue, so that connects get no answer."""
-        listener = socket.create_server((HOST, self.port), backlog=0)
-        self._sockets.append(listener)
-        for _ in range(FILLING):
-            sock = socket.socket()
-            sock.setblocking(False)  # noqa: FBT003
-            self._sockets.append(sock)
-            with suppress(BlockingIOError):
-                sock.connect((HOST, self.port))
-
-    def _set_flow(self, *, to_server: bool, on: bool) -> None:
-        if on:
-            self._flows[to_server].set()
-        else:
-            self._flows[to_server].clear()
-
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        name = writer.get_extra_info('peername')[0]
+        source = self._sources[name]
+        if source.state in REFUSING:
+            _reset(writer)
+            return
         try:
-            to_server = await asyncio.open_connection(HOST, self._target)
+            server_reader, to_server = await asyncio.open_connection(
+                HOST, self._target
+            )
         except OSError:
             writer.transport.abort()
             return
-        pair = {writer, to_server[1]}
-        self._writers |= pair
+        pair = (writer, to_server)
+        self._writers.update(dict.fromkeys(pair, name))
         try:
             await asyncio.gather(
-                self._forward(reader, to_server[1], to_server=True),
-                self._forward(to_server[0], writer, to_server=False),
+                _forward(reader, to_server, source.to_server),
+                _forward(server_reader, writer, source.from_server),
             )
         finally:
-            self._writers -= pair
             for one in pair:
+                del self._writers[one]
                 one.close()
 
-    async def _forward(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        *,
-        to_server: bool,
-    ) -> None:
-        try:
-            while piece := await reader.read(READ_BYTES):
-                await self._flows[to_server].wait()
-                writer.write(piece)
-                await writer.drain()
-            await self._flows[to_server].wait()
-            writer.close()
-        except OSError:
-            writer.transport.abort()
-
 
 class ServerPaths:
     """Handler of a store that lists servers at the addresses of paths.
 
     :param store: handler of the store itself.
     :param take_port: returns a free port.
+    :param is_shared: whether all instances use the same path to a server. If
+        not, each instance must read the store itself.
     """
 
-    def __init__(self, store: Handler, take_port: Callable[[], int]) -> None:
+    def __init__(
+        self, store: Handler, take_port: Callable[[], int], *, is_shared: bool
+    ) -> None:
         self._store = store
         self._take_port = take_port
+        self._is_shared = is_shared
         self._paths: dict[tuple[str, str], Path] = {}
-        self._states: dict[str, PathState] = {}
+        self._sources: defaultdict[str, Source] = defaultdict(Source)
         self._ended: set[str] = set()
 
     async def __call__(self, request: Request) -> Response:
@@ -174,24 +175,24 @@
             *page.get('items', ()),
             *(event['object'] for event in page.get('events', ())),
         ]
+        owner = '' if self._is_shared else request.source
         for one in stored:
-            one['spec'] = await self._redirect(request.source, one['spec'])
+            one['spec'] = await self._redirect(owner, one['spec'])
         return replace(response, body=orjson.dumps(page))
 
     async def cut(self, sources: Collection[str], state: PathState) -> None:
         """Change all paths of some instances, given by their addresses."""
         for source in sources:
-            self._states[source] = state
-        for (source, address), path in tuple(self._paths.items()):
-            if source in sources:
-                await self._switch(source, address, path)
+            self._sources[source].switch(state)
+        for (_, address), path in tuple(self._paths.items()):
+            await self._update(address, path)
 
     async def open(self, address: str) -> None:
         """Open the paths to a server that has started."""
         self._ended.discard(address)
-        for (source, target), path in tuple(self._paths.items()):
+        for (_, target), path in tuple(self._paths.items()):
             if target == address:
-                await self._switch(source, address, path)
+                await self._update(address, path)
 
     def refuse(self, address: str) -> None:
         """Refuse connections to a server that has ended."""
@@ -200,26 +201,61 @@
             if target == address:
                 path.refuse()
 
-    async def _switch(self, source: str, address: str, path: Path) -> None:
-        await path.switch(self._states.get(source, PathState.sound))
-        if address in self._ended:
-            path.refuse()
-
     def close(self) -> None:
         """Close all paths."""
         for path in self._paths.values():
             path.close()
 
-    async def _redirect(self, source: str, entry: Any) -> Any:
+    async def _update(self, address: str, path: Path) -> None:
+        if address in self._ended:
+            path.refuse()
+        else:
+            await path.update()
+
+    async def _redirect(self, owner: str, entry: Any) -> Any:
         address = entry.get('address') if isinstance(entry, dict) else None
         if not isinstance(address, str):
             return entry
         _, _, port = address.rpartition(':')
         if not port.isdecimal():
             return entry
-        path = self._paths.get((source, address))
+        path = self._paths.get((owner, address))
         if path is None:
-            path = Path(int(port), self._take_port())
-            self._paths[source, address] = path
-            await self._switch(source, address, path)
+            path = Path(int(port), self._take_port(), owner, self._sources)
+            self._paths[owner, address] = path
+            await self._update(address, path)
         return entry | {'address': f'{HOST}:{path.port}'}
+
+
+async def _forward(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    flowing: asyncio.Event,
+) -> None:
+    """Forward data to its end, while an event is set."""
+    try:
+        while piece := await reader.read(READ_BYTES):
+            await flowing.wait()
+            writer.write(piece)
+            await writer.drain()
+        await flowing.wait()
+        writer.close()
+    except OSError:
+        writer.transport.abort()
+
+
+def _set(event: asyncio.Event, *, on: bool) -> None:
+    if on:
+        event.set()
+    else:
+        event.clear()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
+def _socket_of(listener: asyncio.Server) -> socket.socket:
+    return listener.sockets[0]
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -7,6 +7,7 @@
 
 from bench.fleet import WHOLE, running_fleet, wait_until
 from bench.soak_checks import CONTACT_S
+from siskinpass.process.fleet.settings import SMALL_FLEET
 from standins.paths import CUTS, PathState
 
 STATUS_OK = 200
@@ -46,11 +47,13 @@
     return sum(found) / len(found)
 
 
-def run_fleet(scenario, instances=4, servers=3):
+def run_fleet(scenario, instances=4, servers=3, small_fleet=SMALL_FLEET):
     """Run a scenario with a fleet whose paths to servers can be cut."""
 
     async def run():
-        async with running_fleet(instances, servers, has_paths=True) as fleet:
+        async with running_fleet(
+            instances, servers, small_fleet, has_paths=True
+        ) as fleet:
             await served_at(fleet, fleet.processes, 'first')
             await scenario(fleet)
 
@@ -65,10 +68,13 @@
 class TestService:
     """Test what callers get at instances that are cut off."""
 
+    @pytest.mark.parametrize(
+        'small_fleet', [SMALL_FLEET, 1], ids=['small fleet', 'fleet']
+    )
     @pytest.mark.parametrize('names', CUT_NAMES, ids=['one', 'most'])
     @pytest.mark.parametrize('state', CUTS, ids=[one.value for one in CUTS])
     def test_first_tries_are_served_about_as_often_as_elsewhere(
-        self, state, names
+        self, state, names, small_fleet
     ):
         """From the contact time after the cut began, through other ways."""
 
@@ -87,7 +93,7 @@
             once = [call for call in runs if '/once/' in call]
             assert len(once) == len(set(once))
 
-        run_fleet(scenario)
+        run_fleet(scenario, small_fleet=small_fleet)
 
     @pytest.mark.parametrize('state', CUTS, ids=[one.value for one in CUTS])
     def test_instances_use_their_own_paths_again_after_the_cut(self, state):
