--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -59,6 +59,8 @@
     """HTTP/1.1 client connection that runs one request at a time.
 
     The response is passed to the sink given with the request.
+
+    :ivar is_lost: whether the other side closed it before a response ended.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         self._has_used_bytes = False
         self.idle_until_s = 0.0
         self.idle_s = IDLE_TIMEOUT_S
+        self.is_lost = False
 
     @property
     def is_open(self) -> bool:
@@ -104,6 +107,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report an incomplete response to the sink as cut off."""
         self._on_closed(self)
+        self.is_lost = self._sink is not None
         self._fail(BackendError(Code.stream_cut, str(exc or '')))
 
     def eof_received(self) -> bool:
--- a/src/siskinpass/process/fleet/own_paths.py
+++ b/src/siskinpass/process/fleet/own_paths.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 from collections.abc import Callable, Generator, Iterable
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from functools import partial
 
 from siskinpass.codes import Code
@@ -22,6 +22,9 @@
 PROBES_AT_ONCE = 3
 # Covers one lost packet of a probe within the time in which callers connect.
 PROBE_TIMEOUT_S = 0.5
+# A broken path may accept a connection and reset it: only one that is still
+# open after this time shows that the server is reached.
+PROBE_OPEN_S = 0.2
 
 
 class OwnPaths:
@@ -103,23 +106,52 @@
         """
         started_s = self._loop.time()
         try:
-            connection = await self._backends.connect(view.address, fresh=True)
+            return await self._backends.connect(view.address, fresh=True)
         except ConnectError as error:
             self._note_failed(view, started_s, error)
             raise
+
+    async def check(self, view: ServerView) -> None:
+        """Open a new connection and wait whether it stays open.
+
+        :raises ConnectError: if it cannot be opened, or is closed at once.
+        """
+        started_s = self._loop.time()
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                connection = await self.connect(view)
+        except TimeoutError as timeout:
+            error = ConnectError(Code.backend_unreachable, 'no answer in time')
+            self._note_failed(view, started_s, error)
+            raise error from timeout
+        await asyncio.sleep(PROBE_OPEN_S)
+        if not connection.is_open:
+            error = ConnectError(
+                Code.backend_unreachable, 'the connection was closed unused'
+            )
+            self._note_failed(view, started_s, error)
+            raise error
         self._note_connected(view)
-        return connection
+        connection.give_back()
 
     @contextmanager
     def watch(
-        self, view: ServerView
+        self, view: ServerView, connection: BackendConnection
     ) -> Generator[Callable[[], None], None, None]:
-        """Watch a request to a server; yields a function to call on data."""
-        self._health.note_sent(view.name, self._loop.time())
+        """Watch a request on a connection to a server.
+
+        Yields a function to call on data.
+        """
+        started_s = self._loop.time()
+        self._health.note_sent(view.name, started_s)
         try:
             yield partial(self._note_data, view.name)
         finally:
             self._health.note_ended(view.name)
+            if connection.is_lost and not self._health.has_data(
+                view.name, started_s
+            ):
+                self._probe_if_due(view)
 
     async def reaches_any(self) -> bool:
         """Return whether any server is reached; tries a few if none is known.
@@ -148,8 +180,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             for view in self._due():
-                self._probed_s[view.name] = self._loop.time()
-                self._background.start(self._probe(view))
+                self._probe_if_due(view)
 
     def _due(self) -> list[ServerView]:
         """Return the servers to probe now, a few at a time.
@@ -157,30 +188,30 @@
         While nothing is known to be reached, servers that have not failed are
         probed too: the only one that failed may be gone.
         """
-        now_s = self._loop.time()
         names = set(self._health.failed)
-        names.update(self._health.silent(now_s))
+        names.update(self._health.silent(self._loop.time()))
         if self._health.is_cut_off:
             names.update(self._servers)
         due = [
             self._servers[name]
             for name in sorted(names & self._servers.keys())
-            if now_s - self._probed_s.get(name, 0.0) >= PROBE_INTERVAL_S
+            if self._is_due(name)
         ]
         turn = next(self._turns) % max(1, len(due))
         return [*due[turn:], *due[:turn]][:PROBES_AT_ONCE]
 
+    def _is_due(self, server: str) -> bool:
+        probed_s = self._probed_s.get(server, 0.0)
+        return self._loop.time() - probed_s >= PROBE_INTERVAL_S
+
+    def _probe_if_due(self, view: ServerView) -> None:
+        if self._is_due(view.name):
+            self._background.start(self._probe(view))
+
     async def _probe(self, view: ServerView) -> None:
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                connection = await self.connect(view)
-        except ConnectError:
-            return
-        except TimeoutError:
-            started_s = self._loop.time() - PROBE_TIMEOUT_S
-            self._note_failed(view, started_s, TimeoutError('no answer'))
-            return
-        connection.give_back()
+        self._probed_s[view.name] = self._loop.time()
+        with suppress(ConnectError):  # noted in any case
+            await self.check(view)
 
     def _note_data(self, server: str) -> None:
         self._health.note_data(server, self._loop.time())
--- a/src/siskinpass/process/fleet/relay_server.py
+++ b/src/siskinpass/process/fleet/relay_server.py
@@ -114,11 +114,10 @@
 
     async def _probe(self, caller: HttpCaller, view: ServerView) -> None:
         try:
-            connection = await self._context.paths.connect(view)
+            await self._context.paths.check(view)
         except ConnectError as error:
             _state(caller, await self._find_outcome(error))
             return
-        connection.give_back()
         _state(caller, RelayOutcome.reached)
 
     async def _relay(
@@ -144,7 +143,7 @@
             call,
             partial(self._context.on_notice, view, sent_s),
         )
-        with paths.watch(view) as on_data:
+        with paths.watch(view, connection) as on_data:
             await relayed.run(connection, unwrap_request(request), on_data)
 
     async def _find_outcome(self, error: ConnectError) -> RelayOutcome:
--- a/src/siskinpass/process/fleet/server_access.py
+++ b/src/siskinpass/process/fleet/server_access.py
@@ -109,7 +109,7 @@
         It is ``None`` for a relayed one, whose data says nothing of own paths.
         """
         if opened.is_direct:
-            return self.paths.watch(view)
+            return self.paths.watch(view, opened.connection)
         return nullcontext()
 
     async def has_ended(self, view: ServerView) -> bool:
--- a/src/siskinpass/process/path_health.py
+++ b/src/siskinpass/process/path_health.py
@@ -53,6 +53,10 @@
         failed_s = self._failed_s.get(server, -math.inf)
         return self._data_s.get(server, 0.0) > failed_s
 
+    def has_data(self, server: str, since_s: float) -> bool:
+        """Return whether data of a server arrived since some time."""
+        return self._data_s.get(server, -math.inf) >= since_s
+
     def note_connected(self, server: str, now_s: float) -> None:
         """Record that a new connection to a server was opened."""
         self._failed_s.pop(server, None)
--- a/standins/packet_filter.py
+++ b/standins/packet_filter.py
@@ -10,7 +10,7 @@
 # Instructions of the kernel's packet filters.
 LOAD_WORD = 0x20
 JUMP_IF_EQUAL = 0x15
-RETURN = 0x06
+RETURN = 0x6
 INSTRUCTION = struct.Struct('HBBI')
 PROGRAM = struct.Struct('HL')
 SOURCE_OFFSET = 0xFFF00000 + 12  # of the source in an IPv4 header
@@ -28,8 +28,10 @@
     program = [INSTRUCTION.pack(LOAD_WORD, 0, 0, SOURCE_OFFSET)]
     for source in sources:
         address = int(ipaddress.IPv4Address(source))
-        program.append(INSTRUCTION.pack(JUMP_IF_EQUAL, 0, 1, address))
-        program.append(INSTRUCTION.pack(RETURN, 0, 0, 0))
+        program += (
+            INSTRUCTION.pack(JUMP_IF_EQUAL, 0, 1, address),
+            INSTRUCTION.pack(RETURN, 0, 0, 0),
+        )
     program.append(INSTRUCTION.pack(RETURN, 0, 0, WHOLE_PACKET))
     code = ctypes.create_string_buffer(b''.join(program))
     pointer = PROGRAM.pack(len(program), ctypes.addressof(code))
--- a/standins/paths.py
+++ b/standins/paths.py
@@ -142,7 +142,7 @@
             )
         finally:
             for one in pair:
-                del self._writers[one]
+                self._writers.pop(one)
                 one.close()
 
 
