--- a/src/siskinpass/process/crash_evidence.py
+++ b/src/siskinpass/process/crash_evidence.py
@@ -10,7 +10,8 @@
   that were open at the same time one counts, since servers may end together for
   another reason;
 - an answer that goes on clears all parts of its prompt of the crashes before;
-- as long as several parts may be to blame, only their combination is blamed;
+- as long as several parts may be to blame, only their combination is blamed,
+  also if the other crashes do not suffice to blame one of them alone;
 - a crash that blocked parts explain does not speak against others.
 
 Instances report to each other what they saw. Reports may be lost, repeated and
@@ -61,6 +62,10 @@
     ended_ms: int
 
 
+# Requests of each crash.
+Crashes = list[list[BrokenRequest]]
+
+
 class CrashEvidence:
     """Requests that crashes cut off, as reported by all instances."""
 
@@ -136,19 +141,18 @@
         :returns: the given part alone, if no other one was in the prompts of
             all crashes; empty if it is not to blame.
         """
-        weights = self._weights(part)
-        suspects = [self._suspects_of(crash) for crash in self._crashes(part)]
-        common = frozenset.intersection(*suspects) if suspects else frozenset()
-        is_one_request = any(map(is_identity, common))
-        if sum(weights) >= BLAME_WEIGHT or (
-            is_one_request and len(weights) >= REQUEST_CRASHES
-        ):
-            return common
-        return frozenset()
+        crashes = self._crashes(part)
+        if not self._suffices(crashes):
+            return frozenset()
+        for narrower in self._narrower(part, crashes):
+            others = [crash for crash in crashes if crash not in narrower]
+            if not self._suffices(others):
+                return self._common(narrower)
+        return self._common(crashes)
 
     def count(self, name: str) -> int:
         """Return how many crashes, one after the other, a name was in."""
-        return len(self._weights(name))
+        return len(_weights(self._crashes(name)))
 
     def requests(self, name: str) -> tuple[BrokenRequest, ...]:
         """Return the requests whose ends speak against a name."""
@@ -184,7 +188,7 @@
         """Return the processes whose ends speak against a part."""
         return sorted(self._suspected.get(part, ()))
 
-    def _crashes(self, name: str) -> list[list[BrokenRequest]]:
+    def _crashes(self, name: str) -> Crashes:
         """Return the crashes that speak against a name."""
         own = self._suspected.get(name, {})
         if not own:
@@ -215,16 +219,41 @@
         names = [frozenset(one.parts) for one in self._by_server[server]]
         return any(one <= held for one in explanations for held in names)
 
-    def _weights(self, name: str) -> list[int]:
-        """Return the weight of each crash, without those at the same time."""
-        weights = []
-        ended_ms = 0
-        for crash in sorted(self._crashes(name), key=_end):
-            later = [one for one in crash if one.sent_ms >= ended_ms]
-            if later:
-                weights.append(max(one.weight for one in later))
-                ended_ms = max(one.ended_ms for one in crash)
-        return weights
+    def _narrower(self, part: str, crashes: Crashes) -> Iterable[Crashes]:
+        """Return the crashes by requests with some other part too, by part.
+
+        Only where they suffice for a blame, the most numerous first.
+        """
+        beside: dict[str, Crashes] = {}
+        for crash in crashes:
+            found = {
+                other
+                for request in crash
+                if part in self.suspects(request)
+                for other in self.suspects(request)
+            }
+            for other in found:
+                beside.setdefault(other, []).append(crash)
+        several = [
+            one
+            for one in beside.values()
+            if len(one) < len(crashes) and self._suffices(one)
+        ]
+        return sorted(several, key=len, reverse=True)
+
+    def _common(self, crashes: Crashes) -> frozenset[str]:
+        """Return the parts that all of some crashes speak against."""
+        suspects = [self._suspects_of(crash) for crash in crashes]
+        return frozenset.intersection(*suspects) if suspects else frozenset()
+
+    def _suffices(self, crashes: Crashes) -> bool:
+        """Return whether crashes suffice to blame what they have in common."""
+        weights = _weights(crashes)
+        if len(weights) >= REQUEST_CRASHES and any(
+            map(is_identity, self._common(crashes))
+        ):
+            return True
+        return sum(weights) >= BLAME_WEIGHT
 
     def _suspects_of(self, crash: Iterable[BrokenRequest]) -> frozenset[str]:
         """Return the parts that one crash speaks against."""
@@ -256,5 +285,17 @@
             self._suspected.pop(part, None)
 
 
+def _weights(crashes: Crashes) -> list[int]:
+    """Return the weight of each crash, without those at the same time."""
+    weights = []
+    ended_ms = 0
+    for crash in sorted(crashes, key=_end):
+        later = [one for one in crash if one.sent_ms >= ended_ms]
+        if later:
+            weights.append(max(one.weight for one in later))
+            ended_ms = max(one.ended_ms for one in crash)
+    return weights
+
+
 def _end(crash: list[BrokenRequest]) -> tuple[int, str]:
     return min(one.ended_ms for one in crash), crash[0].server
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -105,6 +105,19 @@
         assert (known.blamed('subject') == {'subject'}) is not is_explained
         assert known.count(BAD) == 3
 
+    @pytest.mark.parametrize(
+        ('others', 'blamed'), [(2, {'sys', BAD}), (3, {'sys'})]
+    )
+    def test_crashes_by_two_parts_are_not_blamed_on_a_third(
+        self, others, blamed
+    ):
+        """The other crashes must suffice by themselves."""
+        known = CrashEvidence()
+        known.merge(broken(number, 'sys', BAD) for number in range(3))
+        known.merge(broken(9 + number, 'sys') for number in range(others))
+        assert known.blamed('sys') == blamed
+        assert known.blamed(BAD) == {'sys', BAD}
+
     def test_equal_evidence_hides_no_cause(self):
         """A sound request blocked first does not explain its neighbour's."""
         known = CrashEvidence()
