Let an accepted connection count again until one is closed (crashing requests)

Cause: with no proof but a connection that stayed open for 0.2 s, each refusal left an idle instance unsure of all its paths for that time, and the answer whether a server had ended waited for it.

Change: an accepted connection counts at once, as before, until one was closed unused. From then on only those that stay open or carry data count.

--- a/src/siskinpass/process/fleet/own_paths.py
+++ b/src/siskinpass/process/fleet/own_paths.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 from collections.abc import Callable, Generator, Iterable
-from contextlib import contextmanager, suppress
+from contextlib import contextmanager
 from functools import partial
 
 from siskinpass.codes import Code
@@ -25,6 +25,7 @@
 # A broken path may accept a connection and reset it: only one that is still
 # open after this time shows that the server is reached.
 PROBE_OPEN_S = 0.2
+CLOSED_UNUSED = 'the connection was closed unused'
 
 
 class OwnPaths:
@@ -106,33 +107,21 @@
         """
         started_s = self._loop.time()
         try:
-            return await self._backends.connect(view.address, fresh=True)
+            connection = await self._backends.connect(view.address, fresh=True)
         except ConnectError as error:
             self._note_failed(view, started_s, error)
             raise
+        self._health.note_accepted(self._loop.time())
+        return connection
 
     async def check(self, view: ServerView) -> None:
         """Open a new connection and wait whether it stays open.
 
         :raises ConnectError: if it cannot be opened, or is closed at once.
         """
-        started_s = self._loop.time()
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                connection = await self.connect(view)
-        except TimeoutError as timeout:
-            error = ConnectError(Code.backend_unreachable, 'no answer in time')
-            self._note_failed(view, started_s, error)
-            raise error from timeout
-        await asyncio.sleep(PROBE_OPEN_S)
-        if not connection.is_open:
-            error = ConnectError(
-                Code.backend_unreachable, 'the connection was closed unused'
-            )
-            self._note_failed(view, started_s, error)
-            raise error
-        self._note_connected(view)
-        connection.give_back()
+        connection = await self._connect_in_time(view)
+        if not await self._stays_open(view, connection):
+            raise ConnectError(Code.backend_unreachable, CLOSED_UNUSED)
 
     @contextmanager
     def watch(
@@ -209,9 +198,39 @@
             self._background.start(self._probe(view))
 
     async def _probe(self, view: ServerView) -> None:
+        """Try a server; returns once that shows whether it is reached."""
         self._probed_s[view.name] = self._loop.time()
-        with suppress(ConnectError):  # noted in any case
-            await self.check(view)
+        try:
+            connection = await self._connect_in_time(view)
+        except ConnectError:
+            return
+        staying = self._background.start(self._stays_open(view, connection))
+        if self._health.is_cut_off:
+            await staying
+
+    async def _connect_in_time(self, view: ServerView) -> BackendConnection:
+        started_s = self._loop.time()
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                return await self.connect(view)
+        except TimeoutError as timeout:
+            error = ConnectError(Code.backend_unreachable, 'no answer in time')
+            self._note_failed(view, started_s, error)
+            raise error from timeout
+
+    async def _stays_open(
+        self, view: ServerView, connection: BackendConnection
+    ) -> bool:
+        """Return whether an unused connection stays open; give it back."""
+        await asyncio.sleep(PROBE_OPEN_S)
+        if connection.is_open:
+            self._note_connected(view)
+            connection.give_back()
+            return True
+        error = ConnectError(Code.backend_unreachable, CLOSED_UNUSED)
+        self._health.note_closed()
+        self._note_failed(view, self._loop.time(), error)
+        return False
 
     def _note_data(self, server: str) -> None:
         self._health.note_data(server, self._loop.time())
--- a/src/siskinpass/process/path_health.py
+++ b/src/siskinpass/process/path_health.py
@@ -30,6 +30,7 @@
         self._pending_s: dict[str, float] = {}
         self._pending: dict[str, int] = {}
         self._success_s = -math.inf
+        self._trusts_accepted = True
 
     @property
     def failed(self) -> tuple[str, ...]:
@@ -57,8 +58,20 @@
         """Return whether data of a server arrived since some time."""
         return self._data_s.get(server, -math.inf) >= since_s
 
+    def note_accepted(self, now_s: float) -> None:
+        """Record that a new connection was opened, which may be closed yet."""
+        if self._trusts_accepted:
+            self._success_s = max(self._success_s, now_s)
+
+    def note_closed(self) -> None:
+        """Record that a new connection was closed before it was used.
+
+        Until one stays open or carries data, opening one shows nothing.
+        """
+        self._trusts_accepted = False
+
     def note_connected(self, server: str, now_s: float) -> None:
-        """Record that a new connection to a server was opened."""
+        """Record that a new connection to a server stayed open."""
         self._failed_s.pop(server, None)
         self._broken_s.pop(server, None)
         self.note_data(server, now_s)
@@ -75,6 +88,7 @@
     def note_data(self, server: str, now_s: float) -> None:
         """Record that data of a server arrived."""
         self._data_s[server] = now_s
+        self._trusts_accepted = True
         self._success_s = max(self._success_s, now_s)
 
     def note_sent(self, server: str, now_s: float) -> None:
