Share the reading of raw requests between tests; let the soak take a fleet's size

The soak's command takes the number of instances above which most follow a reader; no check changes. tests/test_server_notices.py and tests/test_stray_refusals.py pass.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -73,13 +73,20 @@
     seeds: int = 1,
     seconds: float = 20.0,
     instances: int = 9,
+    small_fleet: int = soak.SMALL_FLEET,
     faults: bool = True,
 ) -> None:
     """Crash servers by prompts and state limits, beside other faults."""
     failed = 0
     for number in range(seed, seed + seeds):
         sys.stdout.write(f'seed {number}\n')
-        plan = soak.SoakPlan(number, seconds, instances, with_faults=faults)
+        plan = soak.SoakPlan(
+            number,
+            seconds,
+            instances,
+            with_faults=faults,
+            small_fleet=small_fleet,
+        )
         outcome = soak.soak(plan)
         soak.show(outcome)
         failed += bool(outcome.violations)
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -49,6 +49,7 @@
 from bench.soak_streams import StreamCaller
 from siskinpass.process.fleet.loads import ANNOUNCE_AGAIN_S
 from siskinpass.process.fleet.node import LOADS_PORT_STEP
+from siskinpass.process.fleet.settings import SMALL_FLEET
 from standins.fleet import BackendServer, RestartingServer
 from standins.paths import CUTS, PathState
 
@@ -86,7 +87,7 @@
     seconds: float = 20.0
     instances: int = 9
     with_faults: bool = True
-    small_fleet: int = 12
+    small_fleet: int = SMALL_FLEET
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/siskinpass/process/path_health.py
+++ b/src/siskinpass/process/path_health.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable
 
 # A server that sends nothing for this long, while a request waits for it, is
-# probed. Half of it covers the longest pause of a sound stream.
+# probed.
 SILENT_S = 0.4
 
 
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -1,7 +1,6 @@
 """Test servers that announce their end, ask for a pause or send noise."""
 
 import asyncio
-import re
 
 import pytest
 
@@ -10,6 +9,7 @@
 from siskinpass.platform.headers import decode_answer
 from siskinpass.process.server_pauses import MAX_PAUSE_S, ServerPauses
 from siskinpass.request.ticket import ServerView, Ticket
+from standins.raw_requests import read_calls
 from tests.test_fleet import WHOLE, run_scenario
 
 ASKS = 8  # enough to reach both servers several times
@@ -273,13 +273,7 @@
     async def __call__(self, reader, writer):
         """Answer the requests of one connection."""
         late = b''
-        while True:
-            try:
-                head = await reader.readuntil(b'\r\n\r\n')
-                await reader.readexactly(4)
-            except (asyncio.IncompleteReadError, ConnectionError):
-                return
-            call = re.search(rb'(?i)x-attempt-id: (\S+)', head).group(1)
+        async for call in read_calls(reader):
             if self._has_refused:
                 self.runs += 1
                 writer.write(late + RAN % call)
--- a/tests/test_stray_refusals.py
+++ b/tests/test_stray_refusals.py
@@ -1,12 +1,12 @@
 """Test servers that write an earlier refusal once more."""
 
 import asyncio
-import re
 
 import pytest
 
 from bench.fleet import running_fleet, server_entry, wait_until
 from standins.paths import PathState
+from standins.raw_requests import read_calls
 
 RAN = (
     b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Seal: s\r\n'
@@ -35,13 +35,7 @@
     async def __call__(self, reader, writer):
         """Answer the requests of one connection."""
         before = b''
-        while True:
-            try:
-                head = await reader.readuntil(b'\r\n\r\n')
-                await reader.readexactly(4)
-            except (asyncio.IncompleteReadError, ConnectionError):
-                return
-            call = re.search(rb'(?i)x-attempt-id: (\S+)', head).group(1)
+        async for call in read_calls(reader):
             self.runs.append(call)
             if before:
                 self.strays += 1
