Open the listener of a cut path once only in the soak

Cause: two updates of one path, of a cut and of a server that had started, both saw no listener and opened one each.

Change: the socket is opened and noted before anything is awaited; a path that is refused meanwhile closes its listener.

--- a/standins/paths.py
+++ b/standins/paths.py
@@ -19,6 +19,7 @@
 from standins.packet_filter import drop_packets
 
 READ_BYTES = 65536
+BACKLOG = 2048  # connections of a listener that wait to be accepted
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)  # linger for no time
 HOST = '127.0.0.1'
 SERVERS_PATH = '/-/objects/servers'
@@ -86,6 +87,7 @@
         self._owner = owner
         self._sources = sources
         self._writers: dict[asyncio.StreamWriter, str] = {}
+        self._socket: socket.socket | None = None
         self._listener: asyncio.Server | None = None
         self.port = port
 
@@ -97,17 +99,26 @@
         if self._sources[self._owner].state in REFUSING:
             self.refuse()
             return
-        if self._listener is None:
-            self._listener = await asyncio.start_server(
-                self._accept, HOST, self.port
-            )
         hanging = [
             name for name, one in self._sources.items() if one.state in HANGING
         ]
-        drop_packets(_socket_of(self._listener), hanging)
+        if self._socket is not None:
+            drop_packets(self._socket, hanging)
+            return
+        opened = socket.create_server((HOST, self.port))
+        self._socket = opened
+        drop_packets(opened, hanging)
+        listener = await asyncio.start_server(
+            self._accept, sock=opened, backlog=BACKLOG
+        )
+        if self._socket is opened:
+            self._listener = listener
+        else:
+            listener.close()
 
     def refuse(self) -> None:
         """Refuse all new connections."""
+        self._socket = None
         if self._listener is not None:
             self._listener.close()
             self._listener = None
@@ -255,7 +266,3 @@
     sock = writer.get_extra_info('socket')
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     writer.transport.abort()
-
-
-def _socket_of(listener: asyncio.Server) -> socket.socket:
-    return listener.sockets[0]
