Choose the same combination everywhere, among few candidates

Found on reading: with two second parts in equally many crashes, which combination was blamed depended on the order of a set, so that instances could block different ones.

Change: ties are decided by name; only the four most numerous second parts are looked at, compared by crash and not by content.

--- a/src/siskinpass/process/crash_evidence.py
+++ b/src/siskinpass/process/crash_evidence.py
@@ -21,6 +21,8 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
+from heapq import nsmallest
+from operator import itemgetter
 
 from siskinpass.request.identity import is_identity
 
@@ -37,6 +39,8 @@
 # The oldest are forgotten.
 MAX_REQUESTS = 1000
 MAX_CLEARED = 10_000
+# Parts that are looked at as the second one of a combination.
+MAX_NARROWER = 4
 
 ClearedPart = tuple[str, str]
 
@@ -138,14 +142,16 @@
     def blamed(self, part: str) -> frozenset[str]:
         """Return the parts that crash servers together with a given one.
 
-        :returns: the given part alone, if no other one was in the prompts of
-            all crashes; empty if it is not to blame.
+        :returns: the given part with those that were in the prompts of all
+            crashes, or of enough of them if the others do not suffice; empty
+            if it is not to blame.
         """
         crashes = self._crashes(part)
         if not self._suffices(crashes):
             return frozenset()
         for narrower in self._narrower(part, crashes):
-            others = [crash for crash in crashes if crash not in narrower]
+            known = set(map(id, narrower))
+            others = [crash for crash in crashes if id(crash) not in known]
             if not self._suffices(others):
                 return self._common(narrower)
         return self._common(crashes)
@@ -222,24 +228,22 @@
     def _narrower(self, part: str, crashes: Crashes) -> Iterable[Crashes]:
         """Return the crashes by requests with some other part too, by part.
 
-        Only where they suffice for a blame, the most numerous first.
+        Only where they suffice for a blame, the most numerous first: these
+        leave the fewest other crashes.
         """
         beside: dict[str, Crashes] = {}
         for crash in crashes:
-            found = {
-                other
-                for request in crash
-                if part in self.suspects(request)
-                for other in self.suspects(request)
-            }
+            suspects = map(self.suspects, crash)
+            found = set().union(*(one for one in suspects if part in one))
             for other in found:
                 beside.setdefault(other, []).append(crash)
         several = [
-            one
-            for one in beside.values()
-            if len(one) < len(crashes) and self._suffices(one)
+            (-len(one), other, one)
+            for other, one in beside.items()
+            if REQUEST_CRASHES <= len(one) < len(crashes)
         ]
-        return sorted(several, key=len, reverse=True)
+        found_first = nsmallest(MAX_NARROWER, several, key=itemgetter(0, 1))
+        return [one for _, _, one in found_first if self._suffices(one)]
 
     def _common(self, crashes: Crashes) -> frozenset[str]:
         """Return the parts that all of some crashes speak against."""
@@ -249,11 +253,11 @@
     def _suffices(self, crashes: Crashes) -> bool:
         """Return whether crashes suffice to blame what they have in common."""
         weights = _weights(crashes)
-        if len(weights) >= REQUEST_CRASHES and any(
-            map(is_identity, self._common(crashes))
-        ):
+        if sum(weights) >= BLAME_WEIGHT:
             return True
-        return sum(weights) >= BLAME_WEIGHT
+        return len(weights) >= REQUEST_CRASHES and any(
+            map(is_identity, self._common(crashes))
+        )
 
     def _suspects_of(self, crash: Iterable[BrokenRequest]) -> frozenset[str]:
         """Return the parts that one crash speaks against."""
