Probe a server once if many requests to it are cut off together

Found on reading: the time of a probe was noted when its task ran, so that requests that were cut off together started a probe each.

Change: it is noted when the probe is started, also for the probes of a request that waits. test_own_paths and test_path_health pass.

--- a/src/siskinpass/process/fleet/own_paths.py
+++ b/src/siskinpass/process/fleet/own_paths.py
@@ -154,10 +154,7 @@
             self._servers.values(),
             key=lambda view: (view.name in failed, random.random()),
         )
-        tries = [
-            asyncio.ensure_future(self._probe(view))
-            for view in views[:PROBES_AT_ONCE]
-        ]
+        tries = [self._start_probe(view) for view in views[:PROBES_AT_ONCE]]
         for attempt in asyncio.as_completed(tries):
             await attempt
             if not self._health.is_cut_off:
@@ -195,11 +192,14 @@
 
     def _probe_if_due(self, view: ServerView) -> None:
         if self._is_due(view.name):
-            self._background.start(self._probe(view))
+            self._start_probe(view)
+
+    def _start_probe(self, view: ServerView) -> asyncio.Task[None]:
+        self._probed_s[view.name] = self._loop.time()
+        return self._background.start(self._probe(view))
 
     async def _probe(self, view: ServerView) -> None:
         """Try a server; returns once that shows whether it is reached."""
-        self._probed_s[view.name] = self._loop.time()
         try:
             connection = await self._connect_in_time(view)
         except ConnectError:
