Test odd records of other kinds and odd configurations

The report of an odd entry was shown for servers only. Records of crashing parts, of streams and of instances, and a configuration with an odd value, now stand beside and under valid ones in a running fleet, through a restart.

No fault found: 4 of 4 cases pass. With the salvage of odd documents taken out the case of configurations fails; the other three pass, as an unreadable list of one kind hides no other.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,20 +7,31 @@
 from hypothesis import strategies as st
 
 from bench.fleet import (
+    config,
     free_ports,
+    route,
     running_fleet,
     server_entry,
     wait_until,
 )
 from siskinpass.exceptions import FormatError
+from siskinpass.platform.config import CONFIG_KIND
 from siskinpass.platform.directory import decode_member
-from siskinpass.platform.objects import decode_list, decode_watch
+from siskinpass.platform.objects import (
+    INSTANCES_KIND,
+    decode_list,
+    decode_watch,
+)
+from siskinpass.platform.part_records import PARTS_KIND
 from siskinpass.platform.servers import decode_server
+from siskinpass.platform.stream_records import STREAMS_KIND
 from siskinpass.process.codec import encode_member, encode_server
 from siskinpass.process.fleet.loads import LoadExchange
 from standins.fleet import ODD, BackendServer
 from standins.http_server import serve
 
+STATUS_OK = 200
+ODD_S = 0.3  # until instances have read a change
 GOOD = {'service': 'app', 'address': '10.0.0.1:80', 'state': 'ready'}
 MEMBER = {'name': 'front-9', 'peer_address': '10.0.0.1:7340'}
 DEEP = b'[' * 100_000 + b']' * 100_000
@@ -172,6 +183,43 @@
 
         asyncio.run(asyncio.wait_for(scenario(), 90))
 
+    @pytest.mark.parametrize(
+        'kind',
+        [PARTS_KIND, STREAMS_KIND, INSTANCES_KIND, CONFIG_KIND],
+    )
+    def test_odd_records_of_other_kinds_hide_no_configuration(self, kind):
+        """Beside a record, within one, and after a restart."""
+
+        async def scenario():
+            async with running_fleet(3, 1) as fleet:
+                for number, odd in enumerate(ODD_VALUES.values()):
+                    fleet.store.odd = odd
+                    await fleet.store.put(kind, 'odd', ODD)
+                    await fleet.store.put(
+                        kind, 'main', config(5 + number) | {'routes': ODD}
+                    )
+                    await asyncio.sleep(ODD_S)
+                await fleet.store.put(
+                    'config', 'main', config(99, [route('/new/', 'safe')])
+                )
+                await take_up_all(fleet, 'change')
+                await fleet.restart_all()
+                await take_up_all(fleet, 'restart')
+
+        asyncio.run(asyncio.wait_for(scenario(), 90))
+
+
+async def take_up_all(fleet, label):
+    """Wait until each instance serves the route of the new configuration."""
+    for name, process in fleet.processes.items():
+
+        async def is_served(name=name):
+            answer = await fleet.ask('/new/x', name=name, call=label)
+            return answer.status == STATUS_OK
+
+        await wait_until(is_served, f'{name} to take the configuration up')
+        assert process.returncode is None
+
 
 async def serve_all(fleet, label):
     """Wait until each instance uses the new server."""
