--- a/tests/test_path_health.py
+++ b/tests/test_path_health.py
@@ -65,6 +65,35 @@
                 True,
                 True,
             ),
+            # A connection that was accepted counts, until one was closed.
+            (
+                (('note_failed', 'b', 1), ('note_accepted', 2)),
+                False,
+                True,
+                True,
+            ),
+            (
+                (
+                    ('note_closed',),
+                    ('note_failed', 'b', 1),
+                    ('note_accepted', 2),
+                ),
+                True,
+                False,
+                False,
+            ),
+            (
+                (
+                    ('note_closed',),
+                    ('note_failed', 'b', 1),
+                    ('note_data', 'c', 2),
+                    ('note_failed', 'd', 3),
+                    ('note_accepted', 4),
+                ),
+                False,
+                True,
+                True,
+            ),
             # One that failed before fails again, which says nothing new.
             (
                 (
