Serve metrics where the deployment says (observability)

Operators got no metrics of an incident: deploy/system.toml names port 7341, the second of the internal range, and docs/OPERATIONS.md says the same, but instances took the last port of the range, 7355.

Cause: the settings list the first and the last port of the range, and the second entry of the list was read as the second port.

Change: the port is the first one plus one, as the load exchange and the relay have theirs at fixed offsets. No other socket listens there: loads use plus two, relays plus three.

Before: the new test of tests/test_platform_documents.py fails. After: it passes, and tests/test_fleet.py reads the metrics there. Where a deployment has another range than 7340 the port in deploy/system.toml has to be changed too.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 from siskinpass.process.fleet.settings import (
+    METRICS_PORT_STEP,
     SMALL_FLEET,
     SMALL_FLEET_VARIABLE,
 )
@@ -220,7 +221,8 @@
 
     async def start(self, name):
         """Start one instance without waiting until it is ready."""
-        ports = free_ports(5)
+        ports = free_ports(4)
+        ports.append(ports[-1] + METRICS_PORT_STEP)
         self.ports[name] = ports
         number = len(self.ips)
         ip = self.ips.setdefault(name, _instance_ip(number))
--- a/src/siskinpass/platform/settings_file.py
+++ b/src/siskinpass/platform/settings_file.py
@@ -70,7 +70,6 @@
         readiness=read_field(listen, 'ready', str),
         directory=read_field(listen, 'directory', str),
         peer_port=peer_port,
-        metrics_port=int(ports[1]),
         store=read_field(store, 'address', str),
         capacity=_capacity(read_field(table, 'limits', dict, {})),
         seeds=tuple(
--- a/src/siskinpass/process/fleet/settings.py
+++ b/src/siskinpass/process/fleet/settings.py
@@ -13,6 +13,7 @@
 SMALL_FLEET_VARIABLE = 'SISKINPASS_SMALL_FLEET'
 # With so few instances a relay would save less than a late change may cost.
 SMALL_FLEET = 12
+METRICS_PORT_STEP = 1  # offset of the metrics' TCP port from the heartbeat port
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +58,6 @@
     :param directory: address of the directory, from which callers learn the
         instances to connect to.
     :param peer_port: UDP port for heartbeats of the other instances.
-    :param metrics_port: TCP port of the metrics.
     :param store: address of the object store.
     :param capacity: processor capacity in hundredths of a core.
     :param seeds: ``ip:port`` of instances to ask for the others; they may be
@@ -74,7 +74,6 @@
     readiness: str
     directory: str
     peer_port: int
-    metrics_port: int
     store: str
     capacity: int = 0
     seeds: tuple[str, ...] = ()
@@ -90,7 +89,7 @@
     @property
     def metrics(self) -> str:
         """Return the address that the metrics are served at."""
-        return f'{self.ip}:{self.metrics_port}'
+        return f'{self.ip}:{self.peer_port + METRICS_PORT_STEP}'
 
 
 def apply_environment(
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -39,7 +39,6 @@
         readiness='127.0.0.1:3',
         directory='127.0.0.1:4',
         peer_port=port,
-        metrics_port=5,
         store=STORE,
         seeds=(f'127.0.0.1:{seed}',),
     )
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -1,6 +1,8 @@
 """Test the decoding of the platform's documents."""
 
 import copy
+import tomllib
+from pathlib import Path
 
 import orjson
 import pytest
@@ -91,6 +93,14 @@
         assert settings.operator_bounds.retries.slack == pytest.approx(54)
         assert settings.operator_bounds.retries.ratio == pytest.approx(0.2)
 
+    def test_metrics_are_served_where_the_deployment_says(self):
+        """On the second port of the range."""
+        settings = decode_settings(SETTINGS.encode())
+        path = Path(__file__).parents[1] / 'deploy' / 'system.toml'
+        role = tomllib.loads(path.read_text())['roles']['entry']
+        _, _, port = settings.metrics.rpartition(':')
+        assert role['metrics'] == f'{port}/metrics'
+
     @pytest.mark.parametrize(
         ('old', 'new'),
         [
