Report parts of a soak that could not be played as violations

Cause: the stand-in set an option of a connection that was closed already; and a run ignored what its tasks raised.

Change: closed connections are left out. What a fault or a request of a run raises is a violation.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -102,7 +102,12 @@
 
 
 class Soak:
-    """One run. Faults and load draw from separate random generators."""
+    """One run. Faults and load draw from separate random generators.
+
+    :ivar seen: what callers and servers saw.
+    :ivar counts: how often each fault and each kind of answer came.
+    :ivar failed: faults and requests that could not be played.
+    """
 
     def __init__(
         self, fleet: Fleet, servers: list[RestartingServer], plan: SoakPlan
@@ -128,6 +133,7 @@
         self._is_brittle = False
         self.seen = Observations()
         self.counts: Counter[str] = Counter()
+        self.failed: list[str] = []
 
     async def run(self) -> None:
         """Send load and inject faults, then wait for all answers."""
@@ -153,7 +159,13 @@
     def _start(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._finish)
+
+    def _finish(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        error = task.exception()
+        if error is not None:
+            self.failed.append(f'a part of the run failed: {error!r}')
 
     async def _ask(self, kind: str) -> None:
         if kind == STREAM:
@@ -497,7 +509,8 @@
         finally:
             run.close()
     run.counts['crashes'] = len(run.seen.crashes_s)
-    return SoakResult(find_violations(run.seen), run.counts)
+    violations = [*run.failed, *find_violations(run.seen)]
+    return SoakResult(violations, run.counts)
 
 
 def show(outcome: SoakResult) -> None:
--- a/standins/paths.py
+++ b/standins/paths.py
@@ -263,6 +263,7 @@
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
-    sock = writer.get_extra_info('socket')
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    if not writer.is_closing():  # else its socket may be closed
+        sock = writer.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     writer.transport.abort()
