Choose the serving instances and join header sets once

The serving instances were chosen twice at each change of the membership, once more for the relays, which start from them; the relays now take what was chosen. The sets of headers that are not passed on were joined anew for each header of each relayed request and answer; they are constants now.

The test of relays passes the chosen instances too; its assertions are the same. test_relays, test_fleet_members and test_stray_refusals pass.

--- a/src/siskinpass/process/fleet/members.py
+++ b/src/siskinpass/process/fleet/members.py
@@ -330,8 +330,9 @@
     def _update_live(self) -> None:
         live = self.gossip.membership.live
         self._max_seen = max(self._max_seen, len(live))
-        self._caller_members = all_serving_members(self.serving)
-        self._relay_members = relay_members(self.serving)
+        serving = self.serving
+        self._caller_members = all_serving_members(serving)
+        self._relay_members = relay_members(serving, self._caller_members)
         self.links.update_addresses({
             member.name: member.peer_address
             for member in live
--- a/src/siskinpass/process/fleet/relay_wire.py
+++ b/src/siskinpass/process/fleet/relay_wire.py
@@ -25,7 +25,9 @@
 # Marks an answer that has no length and ends with the server's connection.
 UNFRAMED = b'siskinpass-relay-unframed'
 RELAY_HEADERS = frozenset((SERVER, KEY, FRESH, PROBE, OUTCOME, UNFRAMED))
-CONNECTION_HEADERS = FRAMING_HEADERS | {b'connection', b'keep-alive'}
+# What belongs to one connection, and is not passed on to another one.
+FRAMED_HEADERS = RELAY_HEADERS | FRAMING_HEADERS
+HOP_HEADERS = FRAMED_HEADERS | {b'connection', b'keep-alive'}
 LINE_END = b'\r\n'
 FLAG_SET = b'1'
 
@@ -108,7 +110,7 @@
     lines.extend(
         b'%b: %b' % (name, text)
         for name, text in request.headers
-        if name.lower() not in RELAY_HEADERS | FRAMING_HEADERS
+        if name.lower() not in FRAMED_HEADERS
     )
     if request.header(b'content-length') is not None:
         lines.append(b'Content-Length: %d' % len(request.body))
@@ -118,9 +120,7 @@
 def encode_answer_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
     """Return the headers of a server's answer for the asking instance."""
     kept = tuple(
-        header
-        for header in headers
-        if header[0].lower() not in RELAY_HEADERS | CONNECTION_HEADERS
+        header for header in headers if header[0].lower() not in HOP_HEADERS
     )
     return kept if is_framed(headers) else (*kept, (UNFRAMED, FLAG_SET))
 
@@ -128,9 +128,7 @@
 def decode_answer_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
     """Return the headers of a relayed answer as the server framed it."""
     names = {name.lower() for name, _ in headers}
-    dropped = RELAY_HEADERS
-    if UNFRAMED in names:
-        dropped |= FRAMING_HEADERS
+    dropped = FRAMED_HEADERS if UNFRAMED in names else RELAY_HEADERS
     return tuple(one for one in headers if one[0].lower() not in dropped)
 
 
--- a/src/siskinpass/process/fleet/roles.py
+++ b/src/siskinpass/process/fleet/roles.py
@@ -6,7 +6,7 @@
 engines, and without open connections to them.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from siskinpass.process.membership import Member
 from siskinpass.process.rendezvous import rank
@@ -73,17 +73,19 @@
     return [chosen[name] for name in sorted(chosen)]
 
 
-def relay_members(members: Iterable[Member]) -> list[Member]:
+def relay_members(
+    members: Iterable[Member], serving: Sequence[Member]
+) -> list[Member]:
     """Return the members that relay requests for the others.
 
     They are those that callers use, which have connections to servers, and a
     few more in case all of these are cut off from the servers.
+
+    :param serving: those of the members that callers use.
     """
-    given = tuple(members)
-    chosen = all_serving_members(given)
-    names = {member.name for member in chosen}
-    rest = [member for member in given if member.name not in names]
-    return [*chosen, *_first(rest, SPARE_RELAYS)]
+    names = {member.name for member in serving}
+    rest = [member for member in members if member.name not in names]
+    return [*serving, *_first(rest, SPARE_RELAYS)]
 
 
 def readers(members: Iterable[Member]) -> list[str]:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -20,7 +20,11 @@
     wrap_request,
 )
 from siskinpass.process.fleet.relays import FAR_REQUESTS, Relays
-from siskinpass.process.fleet.roles import MAX_SERVING, relay_members
+from siskinpass.process.fleet.roles import (
+    MAX_SERVING,
+    all_serving_members,
+    relay_members,
+)
 from siskinpass.process.membership import Member
 from siskinpass.request.inbound import WireRequest, is_framed
 
@@ -85,7 +89,7 @@
             Member(f'f-{number}', f'10.0.0.1:{number}', '10.0.0.1:1', 'a')
             for number in range(1, instances + 1)
         ]
-        found = relay_members(members)
+        found = relay_members(members, all_serving_members(members))
         assert min(instances, MAX_SERVING) <= len(found) <= MAX_SERVING + 8
         assert len({one.name for one in found}) == len(found)
 
