Keep the table of fact topics together

Found on reading: two functions stood between the rows of the table, and a docstring read badly. No code changes. test_facts and test_own_paths pass.

--- a/src/siskinpass/process/fleet/fact_topics.py
+++ b/src/siskinpass/process/fleet/fact_topics.py
@@ -100,11 +100,6 @@
     return PathReport(instance, is_cut_off, tuple(failed), time.time())
 
 
-LEAVING: FactTopic[ServerView] = FactTopic(
-    'leaving', astuple, lambda row: ServerView(*row)
-)
-
-
 def _encode_brittle(fact: BrittleService) -> Any:
     return fact.service, fact.refusals_per_s
 
@@ -113,6 +108,9 @@
     return BrittleService(*row, time.time())
 
 
+LEAVING: FactTopic[ServerView] = FactTopic(
+    'leaving', astuple, lambda row: ServerView(*row)
+)
 LIMITS: FactTopic[ServerLimit] = FactTopic(
     'limits', astuple, lambda row: ServerLimit(*row)
 )
--- a/src/siskinpass/process/fleet/own_paths.py
+++ b/src/siskinpass/process/fleet/own_paths.py
@@ -115,7 +115,7 @@
         return connection
 
     async def check(self, view: ServerView) -> None:
-        """Open a new connection and wait whether it stays open.
+        """Open a new connection and wait to see that it stays open.
 
         :raises ConnectError: if it cannot be opened, or is closed at once.
         """
