--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -1,6 +1,7 @@
 """Test which prompt parts are blamed for crashes of backend servers."""
 
 import random
+from itertools import combinations
 
 import pytest
 from hypothesis import given
@@ -118,6 +119,18 @@
         assert known.blamed('sys') == blamed
         assert known.blamed(BAD) == {'sys', BAD}
 
+    @pytest.mark.parametrize(('one', 'other'), tuple(combinations('abcdef', 2)))
+    def test_all_choose_the_same_of_two_combinations(self, one, other):
+        """The outcome depends only on the crashes that are known."""
+        known = CrashEvidence()
+        known.merge([
+            broken(1, 'sys', other, one),
+            broken(2, 'sys', one, other),
+            broken(3, 'sys', other),
+            broken(4, 'sys', one),
+        ])
+        assert known.blamed('sys') == {'sys', one}
+
     def test_equal_evidence_hides_no_cause(self):
         """A sound request blocked first does not explain its neighbour's."""
         known = CrashEvidence()
