--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,86 +1,109 @@
-"""An entry of another writer among the workers, then all instances are killed."""
+"""Workers answer before they have read a long body; few answers are reset."""
 
 import asyncio
+import contextlib
 import pathlib
 import random
+import socket
+import struct
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 import lab as review  # noqa: E402
 
-WORKERS = 4
+BODY_BYTES = 4_000_000  # max-body-bytes is 4,194,304
+PART_BYTES = 2_000
 PER_S = 20.0
-BEFORE_S = 8.0
-DOWN_S = 1.5
-AFTER_S = 30.0
-# A number in valid JSON that no usual type holds.
-ODD_NUMBER = '1e99999999999999999999'
+PLAY_S = 60.0
+WORKERS = 5
+SPOILING = 3  # of the workers
+SPOILED = 0.05  # of their answers
+NO_LINGER = struct.pack('ii', 1, 0)
+
+
+class EarlyWorker(review.Worker):
+    """Worker whose answers have no length and begin before the body is read."""
+
+    spoils = False
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            first, headers = await review.read_head(reader)
+            await self._answer(review.Message(first, headers, b''), reader, writer)
+        self._writers.discard(writer)
+        writer.close()
+
+    async def _answer(self, request, reader, writer):
+        call, left = request.get('x-attempt-id'), int(request.get('content-length', '0'))
+        echo = [('X-Attempt-Id', call), ('X-Instance-Id', self.name)]
+        if request.get('x-expect-instance') != self.name:
+            writer.write(review.encode(421, echo, b''))
+            return
+        self.lab.arrived(call, self, request, time.monotonic())
+        self.lab.ran(call, self, request)
+        whole = whole_answer(call)
+        writer.write(review.encode_head(200, [*echo, ('X-Server-Seal', f'seal.{call}')]))
+        writer.write(whole[:PART_BYTES])
+        if self.spoils and random.random() < SPOILED:
+            self._reset(call, writer)
+            return
+        while left > 0:
+            piece = await reader.read(65_536)
+            if not piece:
+                return
+            left -= len(piece)
+        writer.write(whole[PART_BYTES:])
+        await writer.drain()
+
+    def _reset(self, call, writer):
+        """Reset the channel, as the end of a process with unread bytes does."""
+        self.lab.record(f'{self.name} resets the channel of {call} amid its answer')
+        self.lab.reset.add(call)
+        sock = writer.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        writer.transport.abort()
+
+
+def whole_answer(call):
+    """Return the body that a worker answers with."""
+    return (f'{call} ' * 400).encode()[:2 * PART_BYTES]
 
 
 async def scenario(lab):
-    """Return why the rule is broken, if it is."""
+    """Return the successes whose body isn't the worker's whole body."""
+    lab.reset = set()
     await lab.open_store()
     lab.prepare_instances(3)
-    await lab.put_config(3, [review.route('stock', 'safe', 'app', **{'max-attempts': 2})], ['app'])
+    await lab.put_config(
+        3, [review.route('drafts', 'unsafe', 'app', **{'timeout-ms': 8000})], ['app'])
     for number in range(WORKERS):
-        worker = review.Worker(
-            lab, 'app', lab.address(200 + number), lambda request: random.uniform(0.02, 0.08)
-        )
+        worker = EarlyWorker(lab, 'app', lab.address(200 + number), lambda request: 0)
+        worker.spoils = review.trouble() and number < SPOILING
         await worker.start()
     for name in lab.instances:
         await lab.start_instance(name)
     if not await lab.wait_ready():
         raise review.CannotRunError('the instances are not ready')
-    loop = asyncio.get_running_loop()
-    load = lab.spawn(send(lab))
-    await asyncio.sleep(BEFORE_S / 2)
-    if review.trouble():
-        await write_odd_entry(lab)
-    await asyncio.sleep(BEFORE_S / 2)
-    before = list(lab.sent)
-    await asyncio.gather(*map(lab.kill_instance, lab.instances))
-    await asyncio.sleep(DOWN_S)
-    for name in lab.instances:
-        await lab.start_instance(name, first=False)
-    back_s = loop.time()
-    await asyncio.sleep(review.RECOVERY_S + AFTER_S)
-    load.cancel()
-    await asyncio.sleep(3)
-    late = [one for one in lab.sent if one.sent_s > back_s + review.RECOVERY_S]
-    share_before, share_after = served_share(before), served_share(late)
-    lab.record(f'served before the kill: {share_before:.3f} of {len(before)}; '
-               f'later than recovery-s after the start: {share_after:.3f} of {len(late)}')
-    for name in lab.instances:
-        lab.record(f'{name} ready: {await lab.is_ready(name)}')
-    if share_before < 0.25 or not late:
-        raise review.CannotRunError('too few requests were served before')
-    if share_after < 0.25:
-        return [f'{share_after:.3f} of {len(late)} requests served after the restart']
-    return []
-
-
-async def write_odd_entry(lab):
-    """Write one more entry of the kind ``servers``, as another writer may."""
-    await lab.store.put(
-        'servers', 'i-other-writer',
-        '{"service":"app","address":"127.0.0.1:9","zone":"zone-a","version":"v1",'
-        f'"slots":{ODD_NUMBER},"state":"ready","cold-remaining-ms":0,"born":1}}',
-    )
-    lab.record(f'another writer has written servers/i-other-writer, slots {ODD_NUMBER}')
-
-
-def served_share(sent):
-    """Return the share of requests with a success."""
-    return sum(one.status == 200 for one in sent) / max(1, len(sent))
-
-
-async def send(lab):
-    """Send requests at a steady rate."""
-    while True:
-        lab.spawn(lab.ask('/stock/item', method='GET'))
+    end_s = time.monotonic() + PLAY_S
+    tasks = []
+    while time.monotonic() < end_s:
+        tasks.append(lab.spawn(lab.ask('/drafts/new', deadline_ms=8000, body=bytes(BODY_BYTES))))
         await asyncio.sleep(random.expovariate(PER_S))
+    await asyncio.gather(*tasks)
+    served = [one for one in lab.sent if one.status == 200]
+    wrong = [one for one in served if one.body != whole_answer(one.call)]
+    lab.record(f'{len(lab.sent)} sent, {len(served)} served, {len(lab.reset)} answers reset; '
+               f'{len(wrong)} successes without the whole body')
+    for one in wrong:
+        lab.record(f'MIXED {one.call}: 200 with {len(one.body)} bytes of '
+                   f'{len(whole_answer(one.call))}, reset: {one.call in lab.reset}')
+    if len(served) < len(lab.sent) / 2:
+        raise review.CannotRunError('too few requests were served')
+    return [f'{one.call}: {len(one.body)} bytes' for one in wrong]
 
 
 review.main(FOLDER, scenario)
