--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,7 +19,7 @@
 PER_S = 20.0
 PLAY_S = 60.0
 WORKERS = 5
-SPOILING = 3  # of the workers
+SPOILING = 2  # of the workers
 SPOILED = 0.05  # of their answers
 NO_LINGER = struct.pack('ii', 1, 0)
 
