Count a send as run from its start

Callers saw: 503 with Retry-After for a request that a server had begun to run, where the server crashed up to 0.15 s before the route's timeout.

Cause: whether a send may have run was known from a flag while the answer was awaited and from a count after the attempt was judged. The check whether the server has ended is awaited between the two; a timeout there saw neither. Ruled out: the refusal of another attempt (one send each), a broken connection counted as unsent (refusals come at the timeout, not before).

Change: SendCounts counts a send as run at its start and takes it back only for an outcome that proves the contrary. No wire format is touched.

--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -41,6 +41,7 @@
     WireRequest,
 )
 from siskinpass.request.resend import (
+    NOT_RUN_OUTCOMES,
     AttemptOutcome,
     NextStep,
     SendCounts,
@@ -145,7 +146,6 @@
         self._started_s = caller.arrived_s
         self._sends = SendCounts()
         self._parser: EventStreamParser | None = None
-        self._in_flight = False
         self._has_begun = False
         self._avoid = ''
         self._server: ServerView | None = None
@@ -285,6 +285,11 @@
         try:
             self._crash_check.check()
             attempt_result = await self._send(plan, ticket, view)
+        except ConnectError as error:
+            self._sends = self._sends.add_unsent()
+            attempt_result = AttemptResult(
+                AttemptOutcome.unsent, cause=str(error)
+            )
         finally:
             self._release(ticket, attempt_result)
         self._avoid = view.name
@@ -318,16 +323,17 @@
         ticket: Ticket,
         view: ServerView,
     ) -> AttemptResult:
+        """Send the request to a server and return how the attempt ended.
+
+        :raises ConnectError: if nothing was sent.
+        """
         self._is_direct = True
-        try:
-            opened = await self._context.access.open(
-                view,
-                # A late copy of an earlier attempt's answer, which has the
-                # same request id, must not arrive as the answer of this one.
-                fresh=self._sends.total > 0,
-            )
-        except ConnectError as error:
-            return AttemptResult(AttemptOutcome.unsent, cause=str(error))
+        opened = await self._context.access.open(
+            view,
+            # A late copy of an earlier attempt's answer, which has the same
+            # request id, must not arrive as the answer of this one.
+            fresh=self._sends.total > 0,
+        )
         self._is_direct = opened.is_direct
         if not opened.is_direct:
             self._context.log.routine(
@@ -350,38 +356,34 @@
         )
         if context.remaining_s < MIN_ATTEMPT_S:
             opened.connection.cancel()
-            return AttemptResult(
-                AttemptOutcome.unsent,
-                cause='too little time left for an attempt',
+            raise ConnectError(
+                Code.wait_too_long, 'too little time left for an attempt'
             )
         self._crash_check.start_attempt()
+        timeouts = attempt_timeouts(plan.route, self._sends)
         with (
             self._context.access.watch(opened, view) as on_data,
             self._cancel_on_exit(receiver),
         ):
             receiver.on_data = on_data
+            self._sends = self._sends.add_send()
             receiver.start(opened.connection, encode_send(self._call, context))
-            return await receiver.wait(
-                attempt_timeouts(plan.route, self._sends),
-            )
+            attempt_result = await receiver.wait(timeouts)
+        if attempt_result.ending in NOT_RUN_OUTCOMES:
+            self._sends = self._sends.disprove()
+        return attempt_result
 
     @contextmanager
     def _cancel_on_exit(
         self, receiver: AnswerReceiver
     ) -> Generator[None, None, None]:
-        """Stop the server's work if the request ends before its answer.
-
-        On an exception ``_in_flight`` stays set: the server may have run the
-        request, which ``_end_timed_out`` has to know.
-        """
-        self._in_flight = True
+        """Stop the server's work if the request ends before its answer."""
         self._receiver = receiver
         self._caller.on_writable = receiver.set_reading
         try:
             yield
         finally:
             self._stop_receiving(receiver)
-        self._in_flight = False
 
     def _stop_receiving(self, receiver: AnswerReceiver) -> None:
         receiver.cancel()
@@ -391,20 +393,13 @@
     def _next_step(
         self, plan: '_Plan', attempt_result: AttemptResult
     ) -> NextStep:
-        if attempt_result.ending in {
-            AttemptOutcome.unsent,
-            AttemptOutcome.declined,
-        }:
-            self._sends = SendCounts(self._sends.run, self._sends.not_run + 1)
-        else:
-            self._sends = SendCounts(self._sends.run + 1, self._sends.not_run)
         step = decide_next_step(plan.route, attempt_result.ending, self._sends)
         if step in {NextStep.resend, NextStep.resume} and not self._may_retry(
             plan,
             attempt_result,
         ):
             return final_step(
-                attempt_result.ending, has_run=self._sends.run > 0
+                attempt_result.ending, has_run=self._sends.may_have_run
             )
         return step
 
@@ -470,7 +465,7 @@
     def _end_timed_out(self, plan: '_Plan') -> None:
         if self._has_begun:
             self._cut(Code.stream_silent)
-        elif self._in_flight or self._sends.run:
+        elif self._sends.may_have_run:
             self._refuse(Code.stream_silent)
         else:
             self._refuse(Code.wait_too_long)
@@ -482,7 +477,7 @@
         """
         if self._has_begun:
             self._cut(error.code)
-        elif self._sends.run:
+        elif self._sends.may_have_run:
             self._refuse(Code.outcome_unknown)
         else:
             self._refuse(error.code, error.retry_after_ms)
--- a/src/siskinpass/request/resend.py
+++ b/src/siskinpass/request/resend.py
@@ -6,7 +6,7 @@
 """
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from siskinpass.version.routes import RepeatPolicy, Route
 
@@ -47,6 +47,8 @@
     cut = 'cut'
 
 
+# Outcomes that prove that a send was not run.
+NOT_RUN_OUTCOMES = frozenset((AttemptOutcome.unsent, AttemptOutcome.declined))
 # A send that was not run costs the caller little time. Three of them cover a
 # server that is gone, one that is full and one whose address was reassigned.
 MAX_NOT_RUN_SENDS = 3
@@ -56,6 +58,9 @@
 class SendCounts:
     """Numbers of sends of one request so far.
 
+    A send counts as run from its first byte on, until its outcome proves that
+    it was not run.
+
     :param run: sends that a server ran or may have run.
     :param not_run: sends that certainly were not run.
     """
@@ -68,6 +73,23 @@
         """Return the number of all sends."""
         return self.run + self.not_run
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a server may have run any of the sends."""
+        return self.run > 0
+
+    def add_send(self) -> 'SendCounts':
+        """Return the numbers after the start of a send."""
+        return replace(self, run=self.run + 1)
+
+    def add_unsent(self) -> 'SendCounts':
+        """Return the numbers after an attempt that sent nothing."""
+        return replace(self, not_run=self.not_run + 1)
+
+    def disprove(self) -> 'SendCounts':
+        """Return the numbers once the latest send is proved not to have run."""
+        return SendCounts(self.run - 1, self.not_run + 1)
+
 
 def decide_next_step(
     route: Route, ending: AttemptOutcome, sends: SendCounts
@@ -77,10 +99,10 @@
     :param ending: how the last attempt ended.
     :param sends: all sends so far, the last attempt included.
     """
-    if ending in {AttemptOutcome.unsent, AttemptOutcome.declined}:
+    if ending in NOT_RUN_OUTCOMES:
         if sends.not_run < MAX_NOT_RUN_SENDS:
             return NextStep.resend
-        return final_step(ending, has_run=sends.run > 0)
+        return final_step(ending, has_run=sends.may_have_run)
     if not route.may_repeat or sends.run >= route.max_attempts:
         return final_step(ending, has_run=True)
     if ending is AttemptOutcome.cut:
