Complete an unframed answer only once its request is written

Callers saw: 200 with the server's seal and half of the answer, where a server answered without a length and reset the connection while a long request was still being sent.

Cause: the end of an unframed answer was judged by SO_ERROR. The failed write of the request takes that error, and uvloop reports the end of the file before the failure of the write. Ruled out: resets behind short requests, which the socket shows (test_backend_connection.py).

Change: with bytes unwritten at the end of the file the writing half stays open; the answer is complete if they can be written. No wire format is touched.

--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -82,6 +82,7 @@
         self._is_skipping = False
         self._has_unsolicited_answer = False
         self._ends_at_close = False
+        self._is_ending = False
         self._is_reusable = False
         self._unused_bytes = 0
         self._has_used_bytes = False
@@ -102,6 +103,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the socket options."""
         self._transport = transport
+        # Has ``resume_writing`` called as soon as all is written.
+        transport.set_write_buffer_limits(high=0)
         tune_socket(transport, BACKEND_SOCKET_TIMEOUTS)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -113,15 +116,27 @@
     def eof_received(self) -> bool:
         """Complete a response whose body is delimited by the connection close.
 
-        libuv reports a reset that arrives together with data as a regular end
-        of file; the socket still holds the error, so it is checked here.
+        While the request is still being written, a reset looks like a regular
+        end of file. The writing half stays open then, and the response is
+        complete only if the rest of the request can be written.
         """
-        sock = self._transport.get_extra_info('socket')
-        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if self._ends_at_close and not self._is_skipping and not error:
-            self._end()
+        if not self._ends_at_close or self._is_skipping:
+            return False
+        if self._transport.get_write_buffer_size():
+            self._is_ending = True
+            return True
+        self._end_at_close()
         return False
 
+    def resume_writing(self) -> None:
+        """Complete a response that ended before its request was written."""
+        if self._is_ending:
+            self._end_at_close()
+            self._transport.close()
+
+    def pause_writing(self) -> None:
+        """Do nothing: a request is written whole."""
+
     def data_received(self, piece: bytes) -> None:
         """Parse received data; close the connection on unsolicited data.
 
@@ -223,6 +238,16 @@
             self._end()
         self._is_skipping = False
 
+    def _end_at_close(self) -> None:
+        """Complete the response, unless the connection was reset.
+
+        libuv reports a reset that arrives together with data as a regular end
+        of file; the socket still holds the error.
+        """
+        sock = self._transport.get_extra_info('socket')
+        if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._end()
+
     def _end(self) -> None:
         sink, self._sink = self._sink, None
         if sink is not None:
