Drop numbers that no type holds before they are converted

Cause: Decimal refuses such an exponent with an error that the parser does not expect, and formatting the error text of a whole number converted it to float. Both ended the task that watches the store. Ruled out: a dropped page, which is logged and tried again.

Change: numbers are checked as texts at the one place that decodes odd pages; what no float holds becomes null. Digits within texts are left alone, which they were not. Formats are unchanged.

--- a/src/siskinpass/platform/fields.py
+++ b/src/siskinpass/platform/fields.py
@@ -95,7 +95,7 @@
     found = read_field(table, name, int, default)
     if not 0 <= found <= most:
         raise FormatError(
-            Code.document_wrong, f'{name}: out of range: {found:.6g}'
+            Code.document_wrong, f'{name}: out of range: {str(found):.60}'
         )
     return found
 
--- a/src/siskinpass/platform/salvage.py
+++ b/src/siskinpass/platform/salvage.py
@@ -15,8 +15,11 @@
 
 # Far beyond the nesting of any document of the platform.
 MAX_DEPTH = 32
-# Numbers with more digits than the largest that a float holds.
-ENDLESS_NUMBER = re.compile(rb'-?\d{310,}(\.\d+)?([eE][+-]?\d+)?')
+# Texts, which may hold anything, and numbers.
+SCALAR = re.compile(
+    rb'"(?:[^"\\]|\\.)*+"?|-?\d++(?:\.\d++)?(?:[eE][+-]?\d++)?', re.DOTALL
+)
+QUOTE = b'"'
 OPENING = frozenset(('start_map', 'start_array'))
 CLOSING = frozenset(('end_map', 'end_array'))
 
@@ -27,7 +30,7 @@
     :raises ValueError: if the body is not JSON.
     """
     text = body.decode('utf-8', errors='replace').encode()
-    readable = ENDLESS_NUMBER.sub(b'null', text)
+    readable = SCALAR.sub(_representable, text)
     builder = ijson.ObjectBuilder()
     try:
         for event, scalar in _flat_events(readable):
@@ -37,6 +40,21 @@
     return builder.value
 
 
+def _representable(scalar: re.Match[bytes]) -> bytes:
+    """Return a scalar as it is, or ``null`` for a number beyond a float.
+
+    Numbers with an exponent are written anew: a decimal number bounds its
+    exponent too.
+    """
+    token = scalar.group()
+    if token.startswith(QUOTE):
+        return token
+    number = float(token)
+    if not math.isfinite(number):
+        return b'null'
+    return repr(number).encode() if b'e' in token.lower() else token
+
+
 def _flat_events(body: bytes) -> Iterator[tuple[str, Any]]:
     """Yield the events of a document, with ``null`` for what is too deep."""
     depth = 0
@@ -50,7 +68,4 @@
 
 
 def _plain(scalar: Any) -> Any:
-    if not isinstance(scalar, Decimal):
-        return scalar
-    number = float(scalar)
-    return number if math.isfinite(number) else None
+    return float(scalar) if isinstance(scalar, Decimal) else scalar
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -41,6 +41,9 @@
     'large exponent': b'1e999',
     'many digits': b'9' * 10_000,
     'many decimals': b'-' + b'9' * 5000 + b'.5e9',
+    'endless exponent': b'1e99999999999999999999',
+    'endless negative exponent': b'1e-99999999999999999999',
+    '309 digits': b'9' * 309,
     'half a character': b'"\x5cud800"',
 }
 ANYTHING = st.recursive(
@@ -63,6 +66,8 @@
             {'slots': 2**63},
             {'slots': 2**32},
             {'slots': -4},
+            {'slots': int('9' * 309)},
+            {'born': int('9' * 309)},
             {'born': -1},
             {'born': 2**64},
             {'address': '10.0.0.1:99999'},
@@ -128,6 +133,25 @@
         )
         assert changes.stored[1].body == {'x': 1.5}
 
+    @pytest.mark.parametrize(
+        'text',
+        [
+            '1e99999999999999999999',
+            '9' * 400,
+            '"' + '9' * 400,
+            '\\\\"1e99999',
+            'x' * 9,
+        ],
+    )
+    def test_texts_stay_as_they_are(self, text):
+        """Digits within a text are no number."""
+        escaped = text.replace('"', '\\"').encode()
+        page = decode_list(
+            b'{"items":[{"metadata":{"name":"%b"},"spec":1e999}],'
+            b'"current-rev":9}' % escaped
+        )
+        assert page.stored[0].name == text.replace('\\\\', '\\')
+
     def test_what_is_not_json_is_refused(self):
         """A page that breaks off is not taken for a shorter one."""
         with pytest.raises(FormatError):
