Take numbers in headers that are not finite for missing

Callers saw: a connection that closes without an answer for X-Token-Count: inf, X-Length-Hint: 1e999 or X-Prompt-Prefix: a:inf.

Cause: infinity was converted to int. Counts of tokens beyond 32 bits would have failed later, in the load reports. Both count as missing now, as other values that cannot be read do. Formats are unchanged.

--- a/src/siskinpass/platform/headers.py
+++ b/src/siskinpass/platform/headers.py
@@ -29,6 +29,7 @@
 BEARER = 'bearer '
 FLAG_SET = '1'
 FLAG_VALUES = frozenset(('', '0', FLAG_SET))
+MAX_TOKENS = 2_147_483_647  # of a signed 32-bit field
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 
@@ -184,19 +185,15 @@
     entries = _header_text(by_name, b'x-prompt-prefix').split(',')
     return Prompt(
         parts=tuple(_part(entry) for entry in entries if entry),
-        tokens_in=int(_nonnegative_number(counts[0])),
-        max_tokens_out=int(_nonnegative_number(counts[-1]))
-        if len(counts) > 1
-        else 0,
-        tokens_out_hint=int(
-            _nonnegative_number(_header_text(by_name, b'x-length-hint'))
-        ),
+        tokens_in=_token_count(counts[0]),
+        max_tokens_out=_token_count(counts[-1]) if len(counts) > 1 else 0,
+        tokens_out_hint=_token_count(_header_text(by_name, b'x-length-hint')),
     )
 
 
 def _part(entry: str) -> PromptPart:
     key, _, tokens = entry.strip().partition(':')
-    return PromptPart(key, int(_nonnegative_number(tokens)))
+    return PromptPart(key, _token_count(tokens))
 
 
 def _bearer(text: str) -> str:
@@ -226,7 +223,9 @@
 
 
 def _nonnegative_number(text: str) -> float:
-    try:
-        return max(0.0, float(text))
-    except ValueError:
-        return 0.0
+    return _finite_number(text) or 0.0
+
+
+def _token_count(text: str) -> int:
+    number = _nonnegative_number(text)
+    return int(number) if number <= MAX_TOKENS else 0
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -57,6 +57,12 @@
         ('name', 'text'),
         [
             (b'X-Deadline-Ms', b'soon'),
+            (b'X-Deadline-Ms', b'inf'),
+            (b'X-Token-Count', b'inf,nan'),
+            (b'X-Token-Count', b'1e300,1e300'),
+            (b'X-Length-Hint', b'1e999'),
+            (b'X-Prompt-Prefix', b'a:inf'),
+            (b'X-Prompt-Prefix', b'a:1e300'),
             (b'X-Token-Count', b','),
             (b'X-Prompt-Prefix', b':,x'),
         ],
