Search each byte of a stream once

Callers saw: no answer at all from an instance for 20 s, while one server sent a stream in chunks of a byte without the end of an event.

Cause: the parser joined and searched all that it had buffered for each chunk, within one callback. Ruled out: memory, which is bounded.

Change: EventBuffer, shared by both stream parsers, searches each byte once; a connection passes the pieces of one read on in one call. Formats are unchanged.

--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -78,6 +78,7 @@
         self._on_closed = on_closed
         self._sink: AnswerSink | None = None
         self._headers: list[Header] = []
+        self._pieces: list[bytes] = []
         self._parser = httptools.HttpResponseParser(self)
         self._is_skipping = False
         self._has_unsolicited_answer = False
@@ -153,8 +154,10 @@
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
+            self._pass_body()
             self._fail_and_close(str(error))
             return
+        self._pass_body()
         self._unused_bytes = (
             0 if self._has_used_bytes else self._unused_bytes + len(piece)
         )
@@ -224,20 +227,30 @@
         self._is_skipping = not self._sink.receive_head(status, headers)
 
     def on_body(self, piece: bytes) -> None:
-        """Pass a piece of the body to the sink unless it is being skipped."""
+        """Collect a piece of the body unless it is being skipped."""
         if self._sink is not None and not self._is_skipping:
             self._has_used_bytes = True
-            self._sink.receive_body(piece)
+            self._pieces.append(piece)
 
     def on_message_complete(self) -> None:
         """Complete the response unless it is informational or skipped."""
         if self._parser.get_status_code() < STATUS_OK:
             return
         self._is_reusable = self._parser.should_keep_alive()
+        self._pass_body()
         if not self._is_skipping:
             self._end()
         self._is_skipping = False
 
+    def _pass_body(self) -> None:
+        """Pass the pieces of one read to the sink, in one call.
+
+        A server may send chunks of a byte each.
+        """
+        pieces, self._pieces = self._pieces, []
+        if pieces and self._sink is not None:
+            self._sink.receive_body(b''.join(pieces))
+
     def _end_at_close(self) -> None:
         """Complete the response, unless the connection was reset.
 
--- a/src/siskinpass/request/events.py
+++ b/src/siskinpass/request/events.py
@@ -5,14 +5,10 @@
 event.
 """
 
-from siskinpass.codes import Code
-from siskinpass.exceptions import BackendError
+from siskinpass.request.event_buffer import EVENT_END, EventBuffer
 
-EVENT_END = b'\n\n'
 ID_FIELD = b'id:'
 MS_PER_S = 1000
-# Far above the size of any event; limits the memory used per stream.
-MAX_BUFFERED_BYTES = 262_144
 
 
 class EventStreamParser:
@@ -30,7 +26,7 @@
         self._last_s = 0.0
         self._first_s = 0.0
         self._pause_s = 0.0
-        self._buffer = b''
+        self._buffer = EventBuffer()
         self._last_id = ''
         self._count = 0
 
@@ -66,14 +62,9 @@
         :param now_s: the clock in seconds.
         :raises BackendError: where an event is too large.
         """
-        arrived = self._buffer + piece
-        end = arrived.rfind(EVENT_END)
-        if end < 0:
-            self._keep_partial(arrived)
+        whole = self._buffer.feed(piece)
+        if not whole:
             return b''
-        end += len(EVENT_END)
-        whole = arrived[:end]
-        self._keep_partial(arrived[end:])
         for event in whole.split(EVENT_END)[:-1]:
             self._note_event(event)
         self._note_time(now_s)
@@ -81,12 +72,7 @@
 
     def drop_partial(self) -> None:
         """Discard the buffered part of an event that broke off."""
-        self._buffer = b''
-
-    def _keep_partial(self, piece: bytes) -> None:
-        if len(piece) > MAX_BUFFERED_BYTES:
-            raise BackendError(Code.backend_error, 'an event is too large')
-        self._buffer = piece
+        self._buffer.clear()
 
     def _note_time(self, now_s: float) -> None:
         if self._last_s:
--- a/src/siskinpass/request/stream.py
+++ b/src/siskinpass/request/stream.py
@@ -7,11 +7,9 @@
 
 from siskinpass.codes import Code
 from siskinpass.exceptions import BackendError
+from siskinpass.request.event_buffer import EVENT_END, EventBuffer
 
-EVENT_END = b'\n\n'
 DONE_EVENT = b'data: [DONE]\n\n'
-# Far above the size of any event; limits the memory used per stream.
-MAX_BUFFERED_BYTES = 262_144
 
 
 class TokenStreamParser:
@@ -23,7 +21,7 @@
         :param marker: bytes that each event of this request must contain.
         """
         self._marker = marker
-        self._buffer = b''
+        self._buffer = EventBuffer()
         self._tokens = 0
         self._done = False
         self._first_s = 0.0
@@ -58,7 +56,7 @@
         :raises BackendError: where an event belongs to another request, where
             an event follows the end marker, or where one is too large.
         """
-        whole = self._whole_events(piece)
+        whole = self._buffer.feed(piece)
         if not whole:
             return b''
         if self._done:
@@ -78,23 +76,4 @@
 
     def drop_partial(self) -> None:
         """Discard the buffered part of an event that broke off."""
-        self._buffer = b''
-
-    def _whole_events(self, piece: bytes) -> bytes:
-        if self._buffer:
-            piece = self._buffer + piece
-            self._buffer = b''
-        if piece.endswith(EVENT_END):
-            return piece
-        cut = piece.rfind(EVENT_END)
-        if cut < 0:
-            self._keep_partial(piece)
-            return b''
-        cut += len(EVENT_END)
-        self._keep_partial(piece[cut:])
-        return piece[:cut]
-
-    def _keep_partial(self, piece: bytes) -> None:
-        if len(piece) > MAX_BUFFERED_BYTES:
-            raise BackendError(Code.backend_error, 'an event is too large')
-        self._buffer = piece
+        self._buffer.clear()
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -10,6 +10,7 @@
 from siskinpass.connection.backend import (
     MAX_UNUSED_BYTES,
     AnswerSink,
+    BackendConnection,
     BackendPool,
 )
 from siskinpass.exceptions import ConnectError
@@ -17,6 +18,7 @@
 HEAD = b'HTTP/1.1 200 OK\r\nX-Any: 1\r\n'
 UNFRAMED = HEAD + b'\r\nhalf of the '
 SIZED = HEAD + b'Content-Length: 4\r\n\r\nbody'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 NO_LINGER = struct.pack('ii', 1, 0)  # makes close() send a reset
 
 
@@ -25,6 +27,7 @@
 
     def __init__(self, skip=0):
         self.body = b''
+        self.pieces = 0
         self.skip = skip
         self.ended = asyncio.get_running_loop().create_future()
 
@@ -34,6 +37,7 @@
 
     def receive_body(self, piece):
         self.body += piece
+        self.pieces += 1
 
     def receive_end(self):
         self.ended.set_result('whole')
@@ -142,6 +146,26 @@
 
         assert run(send_after_close()) == 'unsent'
 
+    def test_chunks_of_one_read_arrive_together(self):
+        """A body in chunks of a byte costs one call for each read."""
+
+        async def fetch_chunks():
+            loop = asyncio.get_running_loop()
+            collector = Collector()
+            connection = BackendConnection(lambda one: None, lambda one: None)
+            with socket.create_server(('127.0.0.1', 0)) as listener:
+                await loop.create_connection(
+                    lambda: connection, *listener.getsockname()
+                )
+                connection.send(b'GET / HTTP/1.1\r\n\r\n', collector)
+                connection.data_received(
+                    CHUNKED + b'1\r\nx\r\n' * 1000 + b'0\r\n\r\n'
+                )
+                connection.cancel()
+            return await collector.ended, collector.body, collector.pieces
+
+        assert asyncio.run(fetch_chunks()) == ('whole', b'x' * 1000, 1)
+
     def test_drops_unsolicited_answer(self):
         """A second response without a request is discarded."""
         found = asyncio.run(fetch([SIZED + SIZED], reset=False))
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -5,7 +5,9 @@
 from hypothesis import strategies as st
 
 from siskinpass.exceptions import BackendError
-from siskinpass.request.events import MAX_BUFFERED_BYTES, EventStreamParser
+from siskinpass.request.event_buffer import MAX_BUFFERED_BYTES
+from siskinpass.request.events import EventStreamParser
+from siskinpass.request.stream import TokenStreamParser
 
 EVENTS = tuple(
     f'id: {number}\ndata: x{number}\n\n'.encode() for number in range(1, 9)
@@ -63,3 +65,52 @@
         """An event over the buffer limit raises an error."""
         with pytest.raises(BackendError):
             EventStreamParser().feed(b'x' * (MAX_BUFFERED_BYTES + 1))
+
+
+class CountingBytes(bytearray):  # noqa: WPS600
+    """Buffer that counts the bytes that are searched or copied."""
+
+    work = 0
+
+    def rfind(self, part, start=0):
+        """Search from the end back to an offset."""
+        CountingBytes.work += len(self) - start
+        return super().rfind(part, start)
+
+    def __getitem__(self, index):
+        """Copy a slice."""
+        found = super().__getitem__(index)
+        CountingBytes.work += len(found)
+        return found
+
+    def __add__(self, piece):
+        """Copy all."""
+        CountingBytes.work += len(self) + len(piece)
+        return CountingBytes(super().__add__(piece))
+
+
+class TestWork:
+    """Test that work does not grow with the square of what arrives."""
+
+    @pytest.mark.parametrize(
+        'parser',
+        [EventStreamParser, lambda: TokenStreamParser(b'id: ')],
+        ids=['events', 'tokens'],
+    )
+    @pytest.mark.parametrize(
+        'stream',
+        [b'x' * MAX_BUFFERED_BYTES, b'id: 1\n\n' * 9000],
+        ids=['no event', 'events'],
+    )
+    def test_single_bytes_are_searched_once(self, parser, stream, monkeypatch):
+        """Guards against an instance that stands still over one stream."""
+        monkeypatch.setattr(
+            'siskinpass.request.event_buffer.bytearray',
+            CountingBytes,
+            raising=False,
+        )
+        CountingBytes.work = 0
+        created = parser()
+        for byte in stream:
+            created.feed(bytes((byte,)), 1.0)
+        assert CountingBytes.work <= 4 * len(stream)
