Answer all that was read before a planned stop ends the process

Callers saw: channels that end without an answer around SIGTERM, most of them of requests with slow bodies, some of requests that a server had run.

Cause: only requests with a handler counted as open. The process ended 0.1 s after the last of them, whatever was still arriving, waiting behind another request or unsent; and requests did not know when the process ends. Ruled out: connections in the backlog, whose requests are unread.

Change: connections count until nothing is under way on them. Queued requests are answered before the channel closes; a channel that was to be kept stays open a little longer.

--- a/src/siskinpass/connection/http_caller.py
+++ b/src/siskinpass/connection/http_caller.py
@@ -16,10 +16,12 @@
 
 MAX_PIPELINED = 16  # requests that wait behind the one in progress
 WRITE_HIGH_WATER_BYTES = 262_144
+LATE_ARRIVAL_S = 0.3  # within which a request may cross with a close
 WRITE_TIMEOUT_S = 30.0  # as long as the longest timeout of a route
 LAST_CHUNK = b'0\r\n\r\n'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 CLOSE_HEADER = (b'Connection', b'close')
+RETRY_AT_ONCE = ((b'Retry-After', b'0'),)  # at another instance
 
 
 class WritableCallback(Protocol):
@@ -53,6 +55,11 @@
         self.in_head = False
         self.received_bytes = 0
 
+    @property
+    def has_any(self) -> bool:
+        """Return whether any part of a request was received."""
+        return bool(self.complete or self.received_bytes)
+
     def feed(self, piece: bytes) -> Code | None:
         """Parse received bytes.
 
@@ -128,6 +135,7 @@
         self._fault: Code | None = None
         self._method = b''
         self._keep_alive = True
+        self._is_lost = False
         self.is_busy = False
         self.is_leaving = False
         self.arrived_s = 0.0
@@ -141,8 +149,20 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is in progress or partly received."""
-        return not (self.is_busy or self._collector.received_bytes)
+        """Return whether no request is in progress or was received."""
+        return not (self.is_busy or self._collector.has_any)
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the connection is closed, with all data sent."""
+        return self._is_lost
+
+    @property
+    def is_settled(self) -> bool:
+        """Return whether no request and no answer is on its way."""
+        if self._is_lost:
+            return True
+        return self.is_idle and not self._transport.get_write_buffer_size()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options and start the idle timeout."""
@@ -153,6 +173,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the current handler that the caller disconnected."""
+        self._is_lost = True
         self._timer.clear()
         if self.on_lost is not None:
             self.on_lost()
@@ -214,7 +235,7 @@
     def end_stream(self) -> None:
         """Send the last chunk and finish the response as complete."""
         self._write(LAST_CHUNK)
-        self._finish(keep_alive=self._should_keep_alive())
+        self._finish(keep_alive=self._keep_alive)
 
     def truncate_stream(self) -> None:
         """Close without the last chunk, so that the caller sees a cut stream.
@@ -230,6 +251,11 @@
         if self.is_idle:
             self._transport.close()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse a request that has not arrived whole."""
+        if not self.is_busy and self._collector.received_bytes:
+            self._refuse(Code.instance_leaving)
+
     def abort(self) -> None:
         """Close at once, discarding data that was not sent yet."""
         self._transport.abort()
@@ -268,14 +294,17 @@
         self.is_busy = True
         self._keep_alive = False
         meaning = MEANINGS[code]
-        self.answer(meaning.status, (), meaning.text.encode())
+        headers = RETRY_AT_ONCE if code is Code.instance_leaving else ()
+        self.answer(meaning.status, headers, meaning.text.encode())
 
     def _send_continue(self) -> None:
         if not self.is_busy:
             self._transport.write(CONTINUE)
 
     def _should_keep_alive(self) -> bool:
-        return self._keep_alive and not self.is_leaving
+        """Return whether to go on; a leaving instance answers what it read."""
+        is_last = self.is_leaving and not self._collector.has_any
+        return self._keep_alive and not is_last
 
     def _finish(self, *, keep_alive: bool) -> None:
         self.on_lost = None
@@ -284,7 +313,10 @@
         if not keep_alive or not self.is_open:
             self._transport.close()
             return
-        self._timer.start(self._limits().idle_timeout_s)
+        # The answer has not announced a close, so that a request may follow it.
+        self._timer.start(
+            LATE_ARRIVAL_S if self.is_leaving else self._limits().idle_timeout_s
+        )
         if self._collector.complete or self._fault is not None:
             self._transport.resume_reading()
             asyncio.get_running_loop().call_soon(self._start_waiting)
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -26,6 +26,7 @@
     engine_urgency,
     make_ticket,
 )
+from siskinpass.process.fleet.time_limit import TimeLimit
 from siskinpass.process.logs import ComponentLog
 from siskinpass.process.metrics import ANSWERED, Metrics
 from siskinpass.process.request_timeline import (
@@ -48,6 +49,7 @@
     decide_next_step,
     final_step,
 )
+from siskinpass.request.stop_plan import StopPlan
 from siskinpass.request.ticket import ServerView, Ticket
 from siskinpass.request.timeouts import attempt_timeouts
 from siskinpass.version.routes import (
@@ -102,6 +104,7 @@
         self._context = context
         self._numbers = itertools.count(1)
         self._handlers: dict[asyncio.Task[None], RequestHandler] = {}
+        self._stop_plan: StopPlan | None = None
 
     @property
     def open_requests(self) -> int:
@@ -113,11 +116,19 @@
         request_handler = RequestHandler(
             self._context, caller, request, next(self._numbers)
         )
+        if self._stop_plan is not None:
+            request_handler.time_limit.end_by(self._stop_plan)
         task = asyncio.get_running_loop().create_task(request_handler.run())
         self._handlers[task] = request_handler
         task.add_done_callback(self._handlers.pop)
         caller.on_lost = task.cancel
 
+    def stop(self, stop_plan: StopPlan) -> None:
+        """Answer all requests, open and new ones, before the process ends."""
+        self._stop_plan = stop_plan
+        for request_handler in tuple(self._handlers.values()):
+            request_handler.time_limit.end_by(stop_plan)
+
     def stop_blocked(self) -> None:
         """Take back requests from servers that they would crash."""
         for request_handler in tuple(self._handlers.values()):
@@ -157,6 +168,7 @@
         self._receiver: AnswerReceiver | None = None
         self._is_direct = True
         self._may_repeat = False
+        self.time_limit = TimeLimit()
 
     async def run(self) -> None:
         """Answer the request; cancelled when the caller disconnects."""
@@ -236,7 +248,10 @@
         table: RouteTable,
     ) -> None:
         caller_timeout_s = self._call.caller_timeout_s or DEFAULT_TIMEOUT_S
-        deadline_s = self._started_s + min(caller_timeout_s, route.timeout_s)
+        deadline_s = self.time_limit.limit(
+            self._started_s,
+            self._started_s + min(caller_timeout_s, route.timeout_s),
+        )
         service = route.pick_service(random.random())
         self._context.note_request(service)
         self._route_name = route.name
@@ -245,7 +260,7 @@
             self._parser = EventStreamParser(self._started_s)
         plan = _Plan(route, workspace, service, deadline_s, table)
         try:
-            async with asyncio.timeout_at(deadline_s):
+            async with self.time_limit.enforce(deadline_s):
                 service = await self._origin.resolve(route, service)
                 await self._attempt_all(replace(plan, service=service))
         except TimeoutError:
--- a/src/siskinpass/process/fleet/listeners.py
+++ b/src/siskinpass/process/fleet/listeners.py
@@ -36,6 +36,11 @@
         )
         self._listeners.append(listener)
 
+    @property
+    def open_connections(self) -> int:
+        """Return how many connections have requests or answers under way."""
+        return sum(not one.is_settled for one in self._callers)
+
     async def close(self, accepting_s: float, arriving_s: float) -> None:
         """Stop accepting requests; open ones go on.
 
@@ -52,9 +57,14 @@
         for connected in self._callers:
             connected.leave()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests that have not arrived whole."""
+        for caller in self._callers:
+            caller.refuse_incomplete()
+
     def forget_closed(self) -> None:
         """Forget the connections that were closed."""
-        self._callers = {one for one in self._callers if one.is_open}
+        self._callers = {one for one in self._callers if not one.is_lost}
 
     def _accept(
         self, serve: Serve, limits: Callable[[], CallerLimits]
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -9,7 +9,11 @@
 from grpclib.server import Server
 
 from siskinpass.connection.backend import BackendPool, PoolPolicy
-from siskinpass.connection.http_caller import HttpCaller, Serve
+from siskinpass.connection.http_caller import (
+    LATE_ARRIVAL_S,
+    HttpCaller,
+    Serve,
+)
 from siskinpass.platform import directory
 from siskinpass.process.background import BackgroundTasks
 from siskinpass.process.blocked_parts import BlockedParts
@@ -57,6 +61,7 @@
 from siskinpass.process.server_pauses import ServerPauses
 from siskinpass.request.inbound import WireRequest
 from siskinpass.request.retry_window import RetryWindow
+from siskinpass.request.stop_plan import StopPlan, plan_stop
 from siskinpass.request.ticket import PromptPlaced, ServerLoad, ServerView
 
 # Short against RECOVERY_GRACE_S of ``known_servers``, which ends on a tick.
@@ -74,8 +79,6 @@
 # TTL they leave a stopping instance sooner.
 DIRECTORY_TTL_S = 1
 CACHED_TTLS = 3
-LATE_ARRIVAL_S = 0.3  # requests sent before the listener closed
-EXIT_MARGIN_S = 0.3  # ahead of the kill at the end of the grace time
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
@@ -327,28 +330,40 @@
 
     async def _drain(self) -> None:
         """Stop accepting requests, finish the open ones and close."""
-        deadline_s = self._loop.time() + self._settings.operator_bounds.grace_s
+        # Callers with a cached directory answer still connect.
+        stop_plan = plan_stop(
+            self._loop.time(),
+            self._settings.operator_bounds.grace_s,
+            CACHED_TTLS * self._directory_ttl_s,
+        )
+        self._forwarder.stop(stop_plan)
+        self._relay.stop()
         self._log.note(
             'The instance is leaving.',
             open=self._forwarder.open_requests,
         )
         self._background.start(self._members.leave(self._state.version))
-        # Callers with a cached directory answer still connect.
-        await self._listeners.close(
-            CACHED_TTLS * self._directory_ttl_s, LATE_ARRIVAL_S
-        )
-        await self._finish_open(deadline_s - EXIT_MARGIN_S)
+        await self._listeners.close(stop_plan.accepting_s, LATE_ARRIVAL_S)
+        await self._finish_open(stop_plan)
         self._log.note('The process ends.', cut=self._forwarder.open_requests)
 
-    async def _finish_open(self, deadline_s: float) -> None:
+    async def _finish_open(self, stop_plan: StopPlan) -> None:
+        await self._wait_until_settled(stop_plan.answers_s)
+        self._listeners.refuse_incomplete()
+        await self._wait_until_settled(stop_plan.exit_s)
+
+    async def _wait_until_settled(self, deadline_s: float) -> None:
         while self._open_requests and self._loop.time() < deadline_s:
             await asyncio.sleep(DRAIN_TICK_S)
-        # Gives the last answers time to reach their callers.
-        await asyncio.sleep(DRAIN_TICK_S)
 
     @property
     def _open_requests(self) -> int:
-        return self._forwarder.open_requests + self._relay.open_requests
+        """Return how many requests or answers are under way in any state."""
+        return (
+            self._listeners.open_connections
+            + self._forwarder.open_requests
+            + self._relay.open_requests
+        )
 
     def _reload(self) -> None:
         self._log.note('Ignored SIGHUP: no setting can be reloaded.')
--- a/src/siskinpass/process/fleet/relay_server.py
+++ b/src/siskinpass/process/fleet/relay_server.py
@@ -73,12 +73,17 @@
         self._context = context
         self._log = ComponentLog('relay')
         self._tasks: set[asyncio.Task[None]] = set()
+        self._is_leaving = False
 
     @property
     def open_requests(self) -> int:
         """Return how many relayed requests are unanswered."""
         return len(self._tasks)
 
+    def stop(self) -> None:
+        """Decline further requests; those under way go on."""
+        self._is_leaving = True
+
     def serve(self, caller: HttpCaller, request: WireRequest) -> None:
         """Start to relay a request; it is cancelled if the asker leaves."""
         target = read_target(request)
@@ -87,7 +92,8 @@
             _state(caller, RelayOutcome.declined)
             return
         view = self._context.find_server(target.server)
-        if view is None or len(self._tasks) >= MAX_RELAYED:
+        is_full = len(self._tasks) >= MAX_RELAYED
+        if view is None or is_full or self._is_leaving:
             _state(caller, RelayOutcome.declined)
             return
         work = (
