Log a planned stop apart from a death

The leaving is announced by gossip and remembered now until the instance is back; the log says that it has left. Formats are unchanged.

Evidence: test_planned_stop_is_no_death_in_the_log.

--- a/src/siskinpass/process/gossip.py
+++ b/src/siskinpass/process/gossip.py
@@ -10,6 +10,8 @@
 from siskinpass.process.codec import decode_packet, encode_packet
 from siskinpass.process.logs import ComponentLog
 from siskinpass.process.membership import (
+    ALIVE,
+    LEAVING,
     Member,
     Membership,
     MembershipEvent,
@@ -51,6 +53,7 @@
         self._on_change = on_change
         self._loop = asyncio.get_running_loop()
         self._live: tuple[Member, ...] = ()
+        self._leaving: set[str] = set()
         self._log = ComponentLog('member')
         self.received_s = self._loop.time()
         self.bytes_sent = 0
@@ -122,10 +125,14 @@
         before = {member.name for member in self._live}
         after = {member.name for member in members}
         joined, lost = sorted(after - before), sorted(before - after)
+        self._note_leaving(members)
         for name in joined[:MAX_LOGGED]:
             self._log.note('An instance is live.', instance=name)
         for name in lost[:MAX_LOGGED]:
-            self._log.warn('An instance is dead.', instance=name)
+            if name in self._leaving:
+                self._log.note('An instance has left.', instance=name)
+            else:
+                self._log.warn('An instance is dead.', instance=name)
         left_out = len(joined[MAX_LOGGED:]) + len(lost[MAX_LOGGED:])
         if left_out:
             self._log.note(
@@ -134,6 +141,14 @@
                 live=len(members),
             )
 
+    def _note_leaving(self, members: tuple[Member, ...]) -> None:
+        """Remember which instances have announced that they leave."""
+        by_state = {
+            state: {member.name for member in members if member.state == state}
+            for state in (ALIVE, LEAVING)
+        }
+        self._leaving = (self._leaving | by_state[LEAVING]) - by_state[ALIVE]
+
     def _send(self, command: SendPacket) -> None:
         body = encode_packet(command.packet)
         host, port = command.address.rsplit(':', 1)
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -315,6 +315,26 @@
 class TestOthers:
     """Test what the other instances do as one or two stop."""
 
+    def test_planned_stop_is_no_death_in_the_log(self):
+        """Its leaving was announced; a killed instance is dead."""
+
+        async def scenario(fleet):
+            stop(fleet, 'front-2')
+            await fleet.processes['front-2'].wait()
+            log = fleet.logs['front-1']
+            await wait_until(
+                lambda: b'An instance has left.' in log.read_bytes(),
+                'the end of front-2',
+            )
+            assert b'An instance is dead.' not in log.read_bytes()
+            fleet.processes['front-3'].kill()
+            await wait_until(
+                lambda: b'An instance is dead.' in log.read_bytes(),
+                'the end of front-3',
+            )
+
+        run_stop(scenario, instances=3)
+
     @pytest.mark.parametrize(
         'stopping',
         [('front-1',), ('front-2',), ('front-1', 'front-2')],
