Close idle connections to an address that has timed out

Cause: the listing after a silent watch took an idle channel, as silent as the watch's, and waited for a call's timeout on each; and it began after a pause that is longer than the margin for it. Ruled out: the wait of the watch alone, which ends 0.1 s before the bound.

Change: a timeout closes the idle connections to the address; the first listing after a silent watch begins at once; the pause after a change counts as part of the wait. Formats are unchanged.

--- a/src/siskinpass/connection/fetch.py
+++ b/src/siskinpass/connection/fetch.py
@@ -69,7 +69,8 @@
     """Send a request and return its complete response.
 
     If no complete response arrives, the connection is closed instead of
-    reused, because nothing else is expected on it.
+    reused, because nothing else is expected on it. After a timeout idle ones
+    to the same address are closed too: they may be as silent.
 
     :param timeout_s: longest time from sending the request to the end of the
         response.
@@ -83,6 +84,7 @@
     try:
         return await asyncio.wait_for(collector.finished, timeout_s)
     except TimeoutError as error:
+        pool.close_idle(address)
         raise BackendError(
             Code.stream_silent, 'no complete answer in time'
         ) from error
--- a/src/siskinpass/exceptions.py
+++ b/src/siskinpass/exceptions.py
@@ -51,6 +51,13 @@
     """The object store did not answer or could not do what was requested."""
 
 
+class StoreSilentError(StoreError):
+    """The object store did not answer a read in time.
+
+    A new connection may reach it at once.
+    """
+
+
 class StoreConflictError(StoreError):
     """A conditional write found another version than the expected one."""
 
--- a/src/siskinpass/process/fleet/store_client.py
+++ b/src/siskinpass/process/fleet/store_client.py
@@ -21,6 +21,7 @@
     FormatError,
     StoreConflictError,
     StoreError,
+    StoreSilentError,
     StoreUnconfirmedError,
 )
 from siskinpass.platform import objects
@@ -168,8 +169,12 @@
         except BackendError as error:
             self._on_call(call, Code.store_down.name)
             sent = not isinstance(error, ConnectError)
-            is_unconfirmed = sent and method != 'GET'
-            failure = StoreUnconfirmedError if is_unconfirmed else StoreError
+            if sent and method != 'GET':
+                failure = StoreUnconfirmedError
+            elif error.code is Code.stream_silent:
+                failure = StoreSilentError
+            else:
+                failure = StoreError
             raise failure(Code.store_down, str(error)) from error
         self._on_call(call, str(answer.status))
         self._check_era(answer)
--- a/src/siskinpass/process/fleet/watch.py
+++ b/src/siskinpass/process/fleet/watch.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from siskinpass.exceptions import FormatError, StoreError
+from siskinpass.exceptions import (
+    FormatError,
+    StoreError,
+    StoreSilentError,
+)
 from siskinpass.platform.objects import Page, StoredObject
 from siskinpass.process.fleet.settings import OperatorBounds
 from siskinpass.process.fleet.store_client import WATCH_MARGIN_S, StoreClient
@@ -89,6 +93,8 @@
         self._revision: int | None = None
         self._era: int | None = None
         self._failures = 0
+        # Between the last answer and the watch that waits now.
+        self._paused_s = 0.0
 
     async def run(self) -> None:
         """Watch the kind until cancelled, with backoff after failures."""
@@ -99,7 +105,7 @@
                 await self._step()
             except (StoreError, FormatError) as error:
                 self._handle_failure(error)
-                await asyncio.sleep(self._backoff_s())
+                await asyncio.sleep(self._backoff_s(error))
             else:
                 self._handle_success()
 
@@ -110,7 +116,7 @@
         page = await self._store.watch_kind(
             self._kind,
             self._revision,
-            self._wait_s(),
+            self._wait_s() - self._paused_s,
         )
         if page is None or page.era != self._era:
             self._log.note(
@@ -120,13 +126,14 @@
             self._revision = None
             return
         self._apply_page(page)
-        if page.stored:
-            await asyncio.sleep(COALESCE_S)
+        self._paused_s = COALESCE_S if page.stored else 0.0
+        await asyncio.sleep(self._paused_s)
 
     async def _list(self) -> None:
         page = await self._store.list_kind(self._kind)
         is_restored = self._era is not None and page.era > self._era
         self._revision, self._era = page.revision, page.era
+        self._paused_s = 0.0
         self._on_update(Listed(page.stored, is_restored))
 
     def _apply_page(self, page: Page) -> None:
@@ -151,6 +158,10 @@
             self._log.note('The store answers again.', kind=self._kind)
         self._failures = 0
 
-    def _backoff_s(self) -> float:
+    def _backoff_s(self, error: Exception) -> float:
+        if self._failures == 1 and isinstance(error, StoreSilentError):
+            # The watch has waited long enough, and other instances have theirs
+            # at other times.
+            return 0.0
         max_s = min(MAX_RETRY_S, MIN_RETRY_S * 2**self._failures)
         return random.uniform(MIN_RETRY_S, max_s)
