Send what was just announced to instances that are met

Operators saw: test_last_server_is_spared failing now and then; a request that had crashed two servers was sent to the last one by an instance that had just joined.

Cause: an announcement went to the instances known at that moment and, 0.3 s later, was repeated. One that was met in between heard the repeat only.

Change: the exchange keeps the receivers of each announcement until its repeat and sends it to sockets that are new when the membership changes. The format of announcements is unchanged; builds before read them as they are.

--- a/src/siskinpass/process/fleet/loads.py
+++ b/src/siskinpass/process/fleet/loads.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from itertools import starmap
 from typing import Any
 
@@ -84,6 +85,17 @@
         return totals
 
 
+@dataclass(frozen=True, slots=True)
+class _Announcement:
+    """Announcement that is to be repeated.
+
+    :param receivers: sockets that it was sent to.
+    """
+
+    datagram: bytes
+    receivers: set[tuple[str, int]] = field(default_factory=set)
+
+
 class LoadExchange(asyncio.DatagramProtocol):
     """Sender and receiver of loads, placements and announcements over UDP.
 
@@ -115,6 +127,7 @@
         self._log = ComponentLog('loads')
         self._sent_loads: Mapping[str, ServerLoad] = {}
         self._sent_s = 0.0
+        self._unrepeated: deque[_Announcement] = deque()
         self._has_updates = False
         # Starts at the wall clock, so that a restarted process continues above
         # the numbers it used before.
@@ -132,9 +145,19 @@
 
         :param payload: of types that JSON has, or a data class.
         """
-        datagram = orjson.dumps({topic: payload})
-        self._send(datagram)
-        self._loop.call_later(ANNOUNCE_AGAIN_S, self._send, datagram)
+        announcement = _Announcement(orjson.dumps({topic: payload}))
+        self._unrepeated.append(announcement)
+        self._send(announcement.datagram)
+        announcement.receivers.update(self._addresses)
+        self._loop.call_later(ANNOUNCE_AGAIN_S, self._repeat)
+
+    def greet_peers(self) -> None:
+        """Send what was just announced to peers that were not known then."""
+        addresses = self._addresses
+        for announcement in self._unrepeated:
+            for address in addresses - announcement.receivers:
+                self._transport.sendto(announcement.datagram, address)
+            announcement.receivers.update(addresses)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport for sending."""
@@ -211,9 +234,15 @@
         ]
         self._send(orjson.dumps((self._own, self._sequence, rows)))
 
+    def _repeat(self) -> None:
+        self._send(self._unrepeated.popleft().datagram)
+
+    @property
+    def _addresses(self) -> set[tuple[str, int]]:
+        return self._peer_loads.senders.union(self._peers())
+
     def _send(self, datagram: bytes) -> None:
-        addresses = self._peer_loads.senders.union(self._peers())
-        for address in addresses:
+        for address in self._addresses:
             self._transport.sendto(datagram, address)
 
 
--- a/src/siskinpass/process/fleet/members.py
+++ b/src/siskinpass/process/fleet/members.py
@@ -69,6 +69,7 @@
     :param store: where readers register their addresses, from which a new
         instance learns them if no seed answers.
     :ivar links: channels to the other instances.
+    :ivar on_change: called when another instance was met or lost, if set.
     """
 
     def __init__(self, settings: FleetSettings, store: StoreClient) -> None:
@@ -76,6 +77,7 @@
         self._store = store
         self._loop = asyncio.get_running_loop()
         self._log = ComponentLog('member')
+        self.on_change: Callable[[], None] | None = None
         self._max_seen = 1
         self._registered = 1  # instances that the store lists
         self._started_s = self._loop.time()
@@ -338,3 +340,5 @@
             for member in live
             if member.name != self._settings.name
         })
+        if self.on_change is not None:
+            self.on_change()
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -220,6 +220,7 @@
         await self._drain()
 
     def _subscribe(self) -> None:
+        self._members.on_change = self._loads.greet_peers
         LEAVING.subscribe(self._loads, self._state.receive_leaving)
         LIMITS.subscribe(self._loads, self._limits.receive)
         BRITTLE.subscribe(self._loads, self._limits.receive_brittle)
