Keep a stop from failing over states that pass quickly

Seen in reading, not by callers: a connection that is just being accepted has no transport yet, and the time limit of a request that has just been answered cannot be moved; either would have ended the stop with an error. A request that was partly received behind an answered one got 0.3 s to arrive in a leaving instance; it has the usual time now. Formats are unchanged.

Evidence: TestPartsOfAStop in test_planned_stops.py.

--- a/src/siskinpass/connection/http_caller.py
+++ b/src/siskinpass/connection/http_caller.py
@@ -136,6 +136,8 @@
         self._method = b''
         self._keep_alive = True
         self._is_lost = False
+        # Set once the connection is accepted, which the listener knows before.
+        self._transport: asyncio.Transport | None = None
         self.is_busy = False
         self.is_leaving = False
         self.arrived_s = 0.0
@@ -160,7 +162,7 @@
     @property
     def is_settled(self) -> bool:
         """Return whether no request and no answer is on its way."""
-        if self._is_lost:
+        if self._is_lost or self._transport is None:
             return True
         return self.is_idle and not self._transport.get_write_buffer_size()
 
@@ -248,7 +250,7 @@
     def leave(self) -> None:
         """Close now if idle, otherwise after the response in progress."""
         self.is_leaving = True
-        if self.is_idle:
+        if self.is_idle and self._transport is not None:
             self._transport.close()
 
     def refuse_incomplete(self) -> None:
@@ -313,10 +315,11 @@
         if not keep_alive or not self.is_open:
             self._transport.close()
             return
-        # The answer has not announced a close, so that a request may follow it.
-        self._timer.start(
-            LATE_ARRIVAL_S if self.is_leaving else self._limits().idle_timeout_s
-        )
+        idle_s = self._limits().idle_timeout_s
+        if self.is_leaving and not self._collector.has_any:
+            # The answer has announced no close: a request may cross with it.
+            idle_s = LATE_ARRIVAL_S
+        self._timer.start(idle_s)
         if self._collector.complete or self._fault is not None:
             self._transport.resume_reading()
             asyncio.get_running_loop().call_soon(self._start_waiting)
--- a/src/siskinpass/process/fleet/loads.py
+++ b/src/siskinpass/process/fleet/loads.py
@@ -147,17 +147,13 @@
         """
         announcement = _Announcement(orjson.dumps({topic: payload}))
         self._unrepeated.append(announcement)
-        self._send(announcement.datagram)
-        announcement.receivers.update(self._addresses)
+        self._send_to_new(announcement)
         self._loop.call_later(ANNOUNCE_AGAIN_S, self._repeat)
 
     def greet_peers(self) -> None:
         """Send what was just announced to peers that were not known then."""
-        addresses = self._addresses
         for announcement in self._unrepeated:
-            for address in addresses - announcement.receivers:
-                self._transport.sendto(announcement.datagram, address)
-            announcement.receivers.update(addresses)
+            self._send_to_new(announcement)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport for sending."""
@@ -237,6 +233,12 @@
     def _repeat(self) -> None:
         self._send(self._unrepeated.popleft().datagram)
 
+    def _send_to_new(self, announcement: _Announcement) -> None:
+        addresses = self._addresses - announcement.receivers
+        for address in addresses:
+            self._transport.sendto(announcement.datagram, address)
+        announcement.receivers.update(addresses)
+
     @property
     def _addresses(self) -> set[tuple[str, int]]:
         return self._peer_loads.senders.union(self._peers())
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -352,6 +352,8 @@
         await self._wait_until_settled(stop_plan.answers_s)
         self._listeners.refuse_incomplete()
         await self._wait_until_settled(stop_plan.exit_s)
+        # Gives the last answers time to reach their callers.
+        await asyncio.sleep(DRAIN_TICK_S)
 
     async def _wait_until_settled(self, deadline_s: float) -> None:
         while self._open_requests and self._loop.time() < deadline_s:
--- a/src/siskinpass/process/fleet/time_limit.py
+++ b/src/siskinpass/process/fleet/time_limit.py
@@ -1,6 +1,8 @@
 """Time limit of one request, which a stop of the process may bring forward."""
 
 import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import asynccontextmanager
 
 from siskinpass.codes import Code
 from siskinpass.exceptions import RefusedError
@@ -34,7 +36,15 @@
             raise RefusedError(Code.instance_leaving)
         return min(deadline_s, stop_plan.answers_s)
 
-    def enforce(self, deadline_s: float) -> asyncio.Timeout:
-        """Return the context of the request's work."""
-        self._timeout = asyncio.timeout_at(deadline_s)
-        return self._timeout
+    @asynccontextmanager
+    async def enforce(self, deadline_s: float) -> AsyncGenerator[None, None]:
+        """Bound the request's work.
+
+        :raises TimeoutError: when its time is up.
+        """
+        try:
+            async with asyncio.timeout_at(deadline_s) as timeout:
+                self._timeout = timeout
+                yield
+        finally:
+            self._timeout = None
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -19,8 +19,11 @@
     wait_until,
 )
 from bench.fleet import parse as parse_answer
+from siskinpass.connection.http_caller import HttpCaller
+from siskinpass.process.fleet.time_limit import TimeLimit
 from siskinpass.request.inbound import NOT_RUN_STATUSES
 from siskinpass.request.stop_plan import ANSWER_MARGIN_S, plan_stop
+from siskinpass.version.routes import CallerLimits
 from standins.paths import PathState
 
 CHUNK_S = 0.2
@@ -363,3 +366,44 @@
                 )
 
         run_stop(scenario, instances=3, has_paths=True)
+
+
+class TestPartsOfAStop:
+    """Test connections and time limits in states that pass quickly."""
+
+    def test_connection_that_is_being_accepted_is_settled(self):
+        """Guards against a stop that fails between two steps of an accept."""
+
+        async def scenario():
+            caller = HttpCaller(CallerLimits, lambda one, request: None)
+            assert caller.is_settled
+            caller.leave()
+            caller.refuse_incomplete()
+            assert caller.is_leaving
+
+        asyncio.run(scenario())
+
+    def test_time_limit_that_has_ended_is_left_alone(self):
+        """Guards against a stop that fails over a request just answered."""
+
+        async def scenario():
+            loop = asyncio.get_running_loop()
+            time_limit = TimeLimit()
+            async with time_limit.enforce(loop.time() + 1):
+                await asyncio.sleep(0)
+            time_limit.end_by(plan_stop(loop.time(), 8.0, 3.0))
+
+        asyncio.run(scenario())
+
+    def test_time_limit_ends_work_by_the_end_of_the_stop(self):
+        """Work that has begun before is ended too."""
+
+        async def scenario():
+            loop = asyncio.get_running_loop()
+            time_limit = TimeLimit()
+            with pytest.raises(TimeoutError):
+                async with time_limit.enforce(loop.time() + 60):
+                    time_limit.end_by(plan_stop(loop.time(), 0.6, 3.0))
+                    await asyncio.Event().wait()
+
+        asyncio.run(asyncio.wait_for(scenario(), 20))
