--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -132,6 +132,8 @@
     :param ips: address of each instance by its name, for other instances and
         for connections to servers.
     :param paths: paths from instances to servers.
+    :param builds: folders of sources that instances run from, by their names;
+        all others run from this checkout.
     """
 
     store: ObjectStore
@@ -148,6 +150,7 @@
     processes: dict[str, asyncio.subprocess.Process] = field(
         default_factory=dict,
     )
+    builds: dict[str, Path] = field(default_factory=dict)
 
     @property
     def runs(self):
@@ -249,10 +252,15 @@
             | {
                 'SISKINPASS_SETTINGS': str(path),
                 SMALL_FLEET_VARIABLE: str(self.small_fleet),
-            },
+            }
+            | self._source_variables(name),
             stdout=self.logs[name].open('ab'),
         )
 
+    def _source_variables(self, name):
+        build = self.builds.get(name)
+        return {} if build is None else {'PYTHONPATH': str(build)}
+
     async def restart_all(self):
         """Kill all instances at once, start them and wait until they serve."""
         for process in self.processes.values():
@@ -384,6 +392,7 @@
     *,
     has_paths: bool = False,
     zones: str = 'a',
+    builds: dict[str, Path] | None = None,
 ) -> AsyncGenerator[Fleet, None]:
     """Run a store, backend servers and instances; stop them afterwards.
 
@@ -392,9 +401,11 @@
     :param has_paths: whether the paths from each instance to all servers can
         be cut.
     :param zones: availability zones, a letter each.
+    :param builds: folders of sources that instances run from, by their names.
     """
     async with AsyncExitStack() as stack:
         fleet = Fleet(ObjectStore(), [], small_fleet, zones)
+        fleet.builds.update(builds or {})
         fleet.ports['store'] = free_ports(1)
         if has_paths:
             fleet.paths = ServerPaths(
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -47,11 +47,13 @@
 
     :param begin_s: time from the signal to its head.
     :param body_s: time from its head to its last byte.
+    :param more: further header lines.
     """
 
     path: str
     begin_s: float
     body_s: float
+    more: str = ''
 
     @property
     def ends_in_time(self):
@@ -64,7 +66,8 @@
         return (
             f'POST {self.path} HTTP/1.1\r\nHost: {HOST}\r\n'
             f'X-Attempt-Id: {call}\r\nAuthorization: Bearer {KEY}\r\n'
-            'X-Deadline-Ms: 15000\r\nTransfer-Encoding: chunked\r\n\r\n'
+            f'X-Deadline-Ms: 15000\r\n{self.more}'
+            'Transfer-Encoding: chunked\r\n\r\n'
         ).encode()
 
 
