--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from bench.fleet import running_fleet, server_entry, wait_until
+from bench.fleet import running_fleet, wait_until
 from siskinpass.process.fleet.settings import SMALL_FLEET
 from standins.paths import PathState
 from standins.raw_requests import read_calls
-from tests.test_resumed_errors import served
+from tests.test_stray_refusals import listen, served
 
 START = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Seal: s\r\n'
 CHUNKED = START + b'Transfer-Encoding: chunked\r\n\r\n'
@@ -82,11 +82,9 @@
                 if is_relayed:
                     ip = fleet.ips['front-1']
                     await fleet.paths.cut([ip], PathState.reset)
-                await wait_until(lambda: served(fleet), 'the server')
+                await wait_until(lambda: served(fleet, '/safe/x'), 'the server')
                 server = EndlessServer(*noise)
-                listener = await asyncio.start_server(server, '127.0.0.1', 0)
-                port = listener.sockets[0].getsockname()[1]
-                await fleet.store.put('servers', 'i-noise', server_entry(port))
+                listener = await listen(fleet, 'i-noise', server)
                 await fleet.store.remove('servers', 'i-0')
                 await wait_until(lambda: has_sent(fleet, server, path), 'noise')
                 await wait_until(lambda: not server.open, 'the close')
--- a/tests/test_resumed_errors.py
+++ b/tests/test_resumed_errors.py
@@ -4,10 +4,11 @@
 
 import pytest
 
-from bench.fleet import WHOLE, running_fleet, server_entry, wait_until
+from bench.fleet import WHOLE, running_fleet, wait_until
 from siskinpass.process.fleet.settings import SMALL_FLEET
 from standins.paths import PathState
 from standins.raw_requests import read_calls
+from tests.test_stray_refusals import listen, served
 
 ID = b'X-Attempt-Id: %b\r\n'
 TEXT = b'X-Server-Seal: s\r\nContent-Length: 7\r\n\r\nat\n\nall'
@@ -66,16 +67,16 @@
                 if is_relayed:
                     ip = fleet.ips['front-1']
                     await fleet.paths.cut([ip], PathState.reset)
-                    await wait_until(lambda: served(fleet), 'a relay')
+                    await wait_until(
+                        lambda: served(fleet, '/safe/x'), 'a relay'
+                    )
                 before = len(fleet.runs)
                 fleet.servers[0].gap_s = 0.2
                 fleet.servers[0].faults.cuts = 1
                 asked = asyncio.create_task(fleet.ask('/stream/stream'))
                 await wait_until(lambda: len(fleet.runs) > before, 'the run')
                 server = ErrorServer(answer)
-                listener = await asyncio.start_server(server, '127.0.0.1', 0)
-                port = listener.sockets[0].getsockname()[1]
-                await fleet.store.put('servers', 'i-error', server_entry(port))
+                listener = await listen(fleet, 'i-error', server)
                 await fleet.store.remove('servers', 'i-0')
                 found = await asked
                 listener.close()
@@ -85,10 +86,3 @@
                 assert (found.status, found.is_whole) == (200, False)
 
         asyncio.run(asyncio.wait_for(scenario(), 60))
-
-
-async def served(fleet):
-    """Return whether an instance that may be cut off serves a request."""
-    served.calls = getattr(served, 'calls', 0) + 1
-    answer = await fleet.ask('/safe/x', call=f'first-{served.calls}')
-    return answer.status == 200
