Forget instances that have left once they are lost; bound a watch's wait

Found in reading: the names of instances that have left were kept for good, and a deployment with a short bound for new configurations would have asked the store to wait for a negative time after a change.

--- a/src/siskinpass/process/fleet/watch.py
+++ b/src/siskinpass/process/fleet/watch.py
@@ -116,7 +116,7 @@
         page = await self._store.watch_kind(
             self._kind,
             self._revision,
-            self._wait_s() - self._paused_s,
+            max(0, self._wait_s() - self._paused_s),
         )
         if page is None or page.era != self._era:
             self._log.note(
--- a/src/siskinpass/process/gossip.py
+++ b/src/siskinpass/process/gossip.py
@@ -133,6 +133,7 @@
                 self._log.note('An instance has left.', instance=name)
             else:
                 self._log.warn('An instance is dead.', instance=name)
+        self._leaving.difference_update(lost)
         left_out = len(joined[MAX_LOGGED:]) + len(lost[MAX_LOGGED:])
         if left_out:
             self._log.note(
