--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import signal
+import socket
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -19,12 +20,11 @@
     wait_until,
 )
 from bench.fleet import parse as parse_answer
-from siskinpass.connection.http_caller import HttpCaller
-from siskinpass.process.fleet.time_limit import TimeLimit
 from siskinpass.request.inbound import NOT_RUN_STATUSES
-from siskinpass.request.stop_plan import ANSWER_MARGIN_S, plan_stop
-from siskinpass.version.routes import CallerLimits
+from siskinpass.request.stop_plan import ANSWER_MARGIN_S
 from standins.paths import PathState
+from standins.raw_requests import read_calls
+from tests.test_stray_refusals import listen
 
 CHUNK_S = 0.2
 CHUNK = b'4\r\nbody\r\n'
@@ -38,6 +38,12 @@
 TIMEOUT_S = 3.0  # of the routes that are not long
 ACCEPTING_S = 3.0  # after the signal
 ANSWERS_S = 8.0 - ANSWER_MARGIN_S
+LARGE_BYTES = 4_000_000
+LARGE_HEAD = (
+    b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Seal: s\r\n'
+    b'Content-Length: %d\r\n\r\n'
+)
+MIN_BUFFER = 4096  # bytes that a slow reader's socket holds
 CALLS = itertools.count()
 
 
@@ -293,29 +299,46 @@
         run_stop(scenario)
 
 
-class TestStopPlan:
-    """Test which requests a stopping instance sends to servers."""
+class TestSlowReaders:
+    """Test answers that their callers read late."""
+
+    def test_answer_that_is_read_late_arrives_whole(self):
+        """Guards against an exit with bytes that were not sent yet."""
+
+        async def scenario(fleet):
+            listener = await listen(fleet, 'i-large', LargeServer())
+            await fleet.store.remove('servers', 'i-0')
+            await wait_until(lambda: _is_large(fleet), 'the large answers')
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MIN_BUFFER)
+            sock.connect(('127.0.0.1', fleet.ports['front-1'][0]))
+            sock.sendall(
+                Upload('/once/x', 0, 0).head('large') + CHUNK + LAST_CHUNK
+            )
+            await asyncio.sleep(CHUNK_S)
+            stop(fleet, 'front-1')
+            await asyncio.sleep(ACCEPTING_S + 1)
+            reader, writer = await asyncio.open_connection(sock=sock)
+            answer = parse_answer(await read_all(reader))
+            assert len(answer.body) == LARGE_BYTES
+            writer.close()
+            listener.close()
+
+        run_stop(scenario, servers=1)
+
+
+class LargeServer:
+    """Server whose answers are large."""
+
+    async def __call__(self, reader, writer):
+        """Answer the requests of one connection."""
+        async for call in read_calls(reader):
+            writer.write(LARGE_HEAD % (call, LARGE_BYTES) + bytes(LARGE_BYTES))
 
-    @pytest.mark.parametrize(
-        ('grace_s', 'read_s', 'lasts_s', 'is_admitted'),
-        [
-            (8.0, 1.0, 15.0, True),
-            (8.0, 2.9, 15.0, True),
-            (8.0, 3.1, 15.0, False),
-            (8.0, 3.1, 2.5, True),
-            (8.0, 5.1, 2.5, False),
-            (2.0, 0.9, 15.0, True),
-            (2.0, 1.1, 1.0, False),
-        ],
-    )
-    def test_late_ones_must_end_in_time(
-        self, grace_s, read_s, lasts_s, is_admitted
-    ):
-        """Times count from the signal; addresses are kept for three seconds."""
-        stop_plan = plan_stop(100.0, grace_s, 3.0)
-        assert stop_plan.answers_s < stop_plan.exit_s < 100.0 + grace_s
-        read_s += 100.0
-        assert stop_plan.admits(read_s, read_s + lasts_s) is is_admitted
+
+async def _is_large(fleet):
+    answer = await fleet.ask('/once/x', call=f'large-{next(CALLS)}')
+    return len(answer.body) == LARGE_BYTES
 
 
 class TestOthers:
@@ -369,44 +392,3 @@
                 )
 
         run_stop(scenario, instances=3, has_paths=True)
-
-
-class TestPartsOfAStop:
-    """Test connections and time limits in states that pass quickly."""
-
-    def test_connection_that_is_being_accepted_is_settled(self):
-        """Guards against a stop that fails between two steps of an accept."""
-
-        async def scenario():
-            caller = HttpCaller(CallerLimits, lambda one, request: None)
-            assert caller.is_settled
-            caller.leave()
-            caller.refuse_incomplete()
-            assert caller.is_leaving
-
-        asyncio.run(scenario())
-
-    def test_time_limit_that_has_ended_is_left_alone(self):
-        """Guards against a stop that fails over a request just answered."""
-
-        async def scenario():
-            loop = asyncio.get_running_loop()
-            time_limit = TimeLimit()
-            async with time_limit.enforce(loop.time() + 1):
-                await asyncio.sleep(0)
-            time_limit.end_by(plan_stop(loop.time(), 8.0, 3.0))
-
-        asyncio.run(scenario())
-
-    def test_time_limit_ends_work_by_the_end_of_the_stop(self):
-        """Work that has begun before is ended too."""
-
-        async def scenario():
-            loop = asyncio.get_running_loop()
-            time_limit = TimeLimit()
-            with pytest.raises(TimeoutError):
-                async with time_limit.enforce(loop.time() + 60):
-                    time_limit.end_by(plan_stop(loop.time(), 0.6, 3.0))
-                    await asyncio.Event().wait()
-
-        asyncio.run(asyncio.wait_for(scenario(), 20))
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -6,8 +6,13 @@
 import pytest
 
 from siskinpass.codes import Code
+from siskinpass.platform.objects import Page, StoredObject
 from siskinpass.process.fleet.store_client import StoreClient
-from siskinpass.process.fleet.watch import KindWatch, Listed
+from siskinpass.process.fleet.watch import (
+    COALESCE_S,
+    KindWatch,
+    Listed,
+)
 from standins.http_server import json_response
 
 WAIT_S = 0.3  # of a watch
@@ -84,3 +89,46 @@
             server.close()
 
         asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+class WaitingStore:
+    """Store that reports one change, then records how long watches wait."""
+
+    def __init__(self):
+        self.waits_s = []
+        self.has_two = asyncio.Event()
+
+    async def list_kind(self, kind):
+        """Return an empty page."""
+        return Page((), 1)
+
+    async def watch_kind(self, kind, revision, wait_s):
+        """Return a change to the first watch, nothing to later ones."""
+        self.waits_s.append(wait_s)
+        if len(self.waits_s) == 1:
+            return Page((StoredObject('a', 2, {}),), 2)
+        self.has_two.set()
+        return await asyncio.Event().wait()
+
+
+class TestPause:
+    """Test the pause between a change and the next watch."""
+
+    @pytest.mark.parametrize(
+        ('wait_s', 'expected'),
+        [(2.0, [2.0, 2.0 - COALESCE_S]), (0.0, [0.0, 0.0])],
+    )
+    def test_pause_is_a_part_of_the_wait(self, wait_s, expected):
+        """Guards against silence that is noticed later than it must be."""
+
+        async def scenario():
+            store = WaitingStore()
+            watch = KindWatch(
+                store, 'kind', lambda: wait_s, lambda update: None
+            )
+            running = asyncio.create_task(watch.run())
+            await store.has_two.wait()
+            assert store.waits_s == expected
+            running.cancel()
+
+        asyncio.run(asyncio.wait_for(scenario(), 20))
