--- a/review/lab2.py
+++ b/review/lab2.py
@@ -24,6 +24,7 @@
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 STORE_S = 0.004  # for an answer of the store
 PAGE_ITEMS = 500
+TOKENS_PER_S = 56_100  # that an engine reads
 BOUNDS = {
     'seed-lag-s': 3,
     'addr-reuse-s': 2,
@@ -53,7 +54,7 @@
     """What was sent, answered and run, in record.txt of the case."""
 
     def __init__(self, folder):
-        self._file = (Path(folder) / 'record.txt').open('w')
+        self._file = (Path(folder) / 'record.txt').open('w', encoding='utf-8')
         self._started_s = time.monotonic()
         self.write('TROUBLE', int(TROUBLE))
 
@@ -279,6 +280,7 @@
         super().__init__()
         self.lab, self.name, self.service = lab, name, service
         self.zone, self.work_s, self.slots = zone, work_s, slots
+        self.kv_tokens = 668_607
         self.born = int(time.time() * 1000)
         self.state = 'ready'
         self.address = ''
@@ -323,8 +325,14 @@
         if not call:
             reply(writer, 400, b'', (('X-Not-Executed', '1'),))
             return
+        tokens = int(headers.get('x-token-count', '0').split(',')[0])
+        if tokens > self.kv_tokens:
+            # Larger than its memory: as if it were full.
+            given = (*given, ('X-Not-Executed', '1'))
+            reply(writer, 503, b'', given)
+            return
         self.lab.note_run(self, call, method, target, headers, body, source)
-        await asyncio.sleep(self.work_s)
+        await asyncio.sleep(self.work_s + tokens / TOKENS_PER_S)
         seal = (('X-Server-Seal', f'{self.name}.{call}'),)
         if target.startswith('/stream/'):
             text = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
