End cases that can't run with status 2, and their processes with them

Cause: a case whose machines did not become ready went on, and a script that was ended by SIGTERM left its processes.

--- a/review/lab2.py
+++ b/review/lab2.py
@@ -560,7 +560,8 @@
     async def start_machines(self):
         for machine in self.machines:
             await machine.start()
-        await self.wait_ready()
+        if not await self.wait_ready():
+            raise RuntimeError('not all machines became ready')
 
     async def wait_ready(self, timeout_s=20):
         """Return whether all machines are ready in time."""
@@ -660,9 +661,11 @@
         finally:
             await lab.close()
 
+    # Ends the processes of the system, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         status = asyncio.run(play_and_close())
-    except (OSError, TimeoutError, AssertionError) as error:
+    except Exception as error:
         lab.record.say('could not run:', repr(error))
         status = 2
     lab.record.say('exit', status)
