Start no instance while a case ends, and remove its folder

Cause: a restart that was under way could start a process while the others were being ended; the folder of settings and logs stayed.

Change: lab2.py; build-2.sh no longer asks for the deploy build, as the scripts notice its absence.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,6 @@
 # deploy/build.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-test -d target/deps/siskinpass
 python3 -m py_compile review/lab2.py
 for case in review/6 review/7 review/8 review/9 review/10; do
   if [ -e "$case/case.py" ]; then
--- a/review/lab2.py
+++ b/review/lab2.py
@@ -10,6 +10,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import sys
@@ -425,6 +426,8 @@
         }
 
     async def start(self):
+        if self.lab.is_closing:
+            return
         path = self.lab.folder / f'{self.name}.yaml'
         path.write_text(json.dumps(self.settings()))
         self.starts += 1
@@ -529,6 +532,7 @@
         self.store = Store()
         self.workers, self.runs = [], []
         self.machines = []
+        self.is_closing = False
         self.on_run = None
         self._next_worker = 0
         self._calls = 0
@@ -593,8 +597,11 @@
         return []
 
     async def close(self):
-        for machine in self.machines:
+        self.is_closing = True
+        # Twice: one may just have been started.
+        for machine in (*self.machines, *self.machines):
             await machine.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
         self.store.stop()
         for worker in self.workers:
             worker.stop()
