Read a page of the store beside a text with half of a character

What callers saw: after a restart of all instances beside one entry whose text has the escape sequence \udcff, no instance became ready and nothing was served; instances that went on learnt of no new server.

Cause: orjson refuses such a page. salvage_json() replaced numbers that no type holds but left texts alone, and ijson raises UnicodeDecodeError for the second half of a surrogate pair without its first. As a ValueError it passed for a page that is not JSON, so that each list failed.

Ruled out: that the watch ends.

Change: all scalars of such a page are made representable before it is parsed, texts too, and the names Python writes for numbers that are not finite. The parser then gets nothing that it refuses within a scalar, which is why this holds for the other halves, control characters and unknown escape sequences as well. The log tells unreadable answers from none.

No format that instances or the store exchange changes.

--- a/src/siskinpass/platform/salvage.py
+++ b/src/siskinpass/platform/salvage.py
@@ -1,7 +1,8 @@
 """Parse JSON documents of which a part cannot be represented.
 
-One entry of a list may be nested without measure or hold a number beyond any
-type. Only such values are dropped, so that the other entries can be read.
+One entry of a list may be nested without measure, hold a number beyond any
+type or half of a character. Only such values are replaced, so that the other
+entries can be read.
 """
 
 import io
@@ -15,17 +16,39 @@
 
 # Far beyond the nesting of any document of the platform.
 MAX_DEPTH = 32
-# Texts, which may hold anything, and numbers.
+# Texts, which may hold anything, and numbers. Some encoders, such as Python's,
+# write numbers that are not finite by their names.
 SCALAR = re.compile(
-    rb'"(?:[^"\\]|\\.)*+"?|-?\d++(?:\.\d++)?(?:[eE][+-]?\d++)?', re.DOTALL
+    rb'"(?:[^"\\]|\\.)*+"?'
+    rb'|-?(?:\d++(?:\.\d++)?(?:[eE][+-]?\d++)?|Infinity)|NaN',
+    re.DOTALL,
 )
+# The first group holds an escape sequence that stands for whole characters.
+# All else that matches has no place in a text.
+ESCAPE = re.compile(
+    rb"""
+    (\\(?:
+        ["\\/bfnrt]
+        | u(?![dD][89a-fA-F])[\da-fA-F]{4}
+        | u[dD][89abAB][\da-fA-F]{2}\\u[dD][c-fC-F][\da-fA-F]{2}
+    ))
+    | \\u[\da-fA-F]{4}
+    | \\.
+    | [\x00-\x1f]
+    """,
+    re.DOTALL | re.VERBOSE,
+)
+REPLACEMENT = '\N{REPLACEMENT CHARACTER}'.encode()
 QUOTE = b'"'
 OPENING = frozenset(('start_map', 'start_array'))
 CLOSING = frozenset(('end_map', 'end_array'))
 
 
 def salvage_json(body: bytes) -> Any:
-    """Return a document with ``None`` for what cannot be represented.
+    """Return a document without what cannot be represented.
+
+    Values become ``None``, and in texts a replacement character (U+FFFD)
+    stands for such a character.
 
     :raises ValueError: if the body is not JSON.
     """
@@ -41,20 +64,24 @@
 
 
 def _representable(scalar: re.Match[bytes]) -> bytes:
-    """Return a scalar as it is, or ``null`` for a number beyond a float.
+    """Return a scalar as it is, or what stands for it.
 
     Numbers with an exponent are written anew: a decimal number bounds its
     exponent too.
     """
     token = scalar.group()
     if token.startswith(QUOTE):
-        return token
+        return ESCAPE.sub(_whole_characters, token)
     number = float(token)
     if not math.isfinite(number):
         return b'null'
     return repr(number).encode() if b'e' in token.lower() else token
 
 
+def _whole_characters(sequence: re.Match[bytes]) -> bytes:
+    return sequence[1] or REPLACEMENT
+
+
 def _flat_events(body: bytes) -> Iterator[tuple[str, Any]]:
     """Yield the events of a document, with ``null`` for what is too deep."""
     depth = 0
--- a/src/siskinpass/process/fleet/watch.py
+++ b/src/siskinpass/process/fleet/watch.py
@@ -147,7 +147,11 @@
         self._revision = None
         if self._failures == 1:
             self._log.warn(
-                'The store does not answer.',
+                (
+                    'The answer of the store cannot be read.'
+                    if isinstance(error, FormatError)
+                    else 'The store does not answer.'
+                ),
                 kind=self._kind,
                 cause=str(error),
             )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Test entries of other writers among those that instances read."""
 
 import asyncio
+import json
 
 import orjson
 import pytest
@@ -46,6 +47,13 @@
     'endless negative exponent': b'1e-99999999999999999999',
     '309 digits': b'9' * 309,
     'half a character': b'"\x5cud800"',
+    'other half of a character': b'"recife \x5cudcff"',
+    'halves in the wrong order': b'"\x5cudc00\x5cud800"',
+    'half a character in a name': b'{"\x5cuDCFF":1}',
+    'not a number': b'NaN',
+    'not finite': b'[Infinity,-Infinity]',
+    'unknown escape sequence': b'"\x5cx41 \x5cu12"',
+    'control character': b'"a\x01b"',
 }
 ANYTHING = st.recursive(
     st.none()
@@ -114,7 +122,10 @@
 
 
 class TestPages:
-    """Test listings and changes of which one entry cannot be represented."""
+    """Test listings and changes of which one entry cannot be represented.
+
+    No instance became ready beside an entry with the escape sequence udcff.
+    """
 
     @pytest.mark.parametrize('odd', ODD_VALUES.values(), ids=ODD_VALUES)
     def test_the_other_entries_are_read(self, odd):
@@ -134,6 +145,40 @@
         )
         assert changes.stored[1].body == {'x': 1.5}
 
+    @given(
+        ANYTHING
+        | st.floats()
+        | st.text(st.characters())
+        | st.dictionaries(st.text(st.characters()), st.floats())
+    )
+    def test_whatever_python_writes_hides_no_entry(self, odd):
+        """Its texts may have halves of characters, its numbers be infinite."""
+        page = decode_list(
+            b'{"items":[{"metadata":{"name":"a"},"spec":%b},'
+            b'{"metadata":{"name":"b"},"spec":{"x":1.5}}],"current-rev":9}'
+            % json.dumps(odd).encode()
+        )
+        assert [one.name for one in page.stored] == ['a', 'b']
+        assert page.stored[1].body == {'x': 1.5}
+
+    @pytest.mark.parametrize(
+        ('escaped', 'text'),
+        [
+            (r'\ud83d\ude00', '\N{GRINNING FACE}'),
+            (r'\\udcff', r'\udcff'),
+            (r'\u0151\"\n', '\u0151"\n'),
+            (r'\ud83dx\ude00', '\ufffdx\ufffd'),
+            (r'\udcff\\', '\ufffd\\'),
+        ],
+    )
+    def test_only_halves_of_characters_are_replaced(self, escaped, text):
+        """Escape sequences that stand for characters are kept."""
+        page = decode_list(
+            b'{"items":[{"metadata":{"name":"%b"},"spec":1e999}],'
+            b'"current-rev":9}' % escaped.encode()
+        )
+        assert page.stored[0].name == text
+
     @pytest.mark.parametrize(
         'text',
         [
