Send names of workspaces as UTF-8, without control characters

What callers saw: the requests of a workspace whose name has a letter beyond Latin-1 ended with a closed connection at each instance, and none reached a server.

Cause: encode_send() encoded X-Tenant as Latin-1. The UnicodeEncodeError counts as an internal error, which closes the caller's connection; the connection to the server stayed open and unused. A line break in a name added a header.

Ruled out: that the configuration is refused.

Change: texts of documents go out as UTF-8 with control characters replaced by spaces, so that no text makes the encoding fail. Keys in callers' heads are compared as UTF-8, and the daemon does the same for workspaces and classes that a head names.

--- a/src/siskinpass/platform/headers.py
+++ b/src/siskinpass/platform/headers.py
@@ -1,6 +1,7 @@
 """Translate the headers of requests and responses."""
 
 import math
+import re
 
 from siskinpass.platform.fields import MS_PER_S
 from siskinpass.request.inbound import (
@@ -26,10 +27,12 @@
 RESUME = b'last-event-id'
 RESUMED_CALL = b'resumes'
 AUTHORIZATION = b'authorization'
-BEARER = 'bearer '
+BEARER = b'bearer '
 FLAG_SET = '1'
 FLAG_VALUES = frozenset(('', '0', FLAG_SET))
 MAX_TOKENS = 2_147_483_647  # of a signed 32-bit field
+# Characters that no header value may hold.
+CONTROLS = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 
@@ -80,7 +83,7 @@
         call_id=_header_text(by_name, CALL_ID),
         caller_timeout_s=_nonnegative_number(_header_text(by_name, DEADLINE))
         / MS_PER_S,
-        key=_bearer(_header_text(by_name, AUTHORIZATION)),
+        key=_bearer(by_name.get(AUTHORIZATION, b'')),
         last_event_id=_header_text(by_name, RESUME),
         resumed_call=_header_text(by_name, RESUMED_CALL),
         prompt=_prompt(by_name),
@@ -154,14 +157,17 @@
 def _system_header_lines(context: SendContext) -> list[bytes]:
     left_ms = max(1, int(context.remaining_s * MS_PER_S))
     fields = (
-        ('X-Deadline-Ms', str(left_ms)),
-        ('X-Expect-Instance', context.server),
-        ('X-Tenant', context.workspace),
-        ('X-Request-Urgency', str(context.urgency)),
-        ('Last-Event-Id', context.last_event_id),
+        (b'X-Deadline-Ms', b'%d' % left_ms),
+        (b'X-Expect-Instance', context.server.encode()),
+        (b'X-Tenant', context.workspace.encode(errors='replace')),
+        (b'X-Request-Urgency', b'%d' % context.urgency),
+        # Came in a header or an event, and was decoded as Latin-1 there.
+        (b'Last-Event-Id', context.last_event_id.encode('latin-1')),
     )
     return [
-        f'{name}: {text}'.encode('latin-1') for name, text in fields if text
+        b'%b: %b' % (name, CONTROLS.sub(b' ', text))
+        for name, text in fields
+        if text
     ]
 
 
@@ -196,9 +202,10 @@
     return PromptPart(key, _token_count(tokens))
 
 
-def _bearer(text: str) -> str:
-    if text[: len(BEARER)].lower() == BEARER:
-        return text[len(BEARER) :].strip()
+def _bearer(credentials: bytes) -> str:
+    """Return the key, which is compared with texts of the configuration."""
+    if credentials[: len(BEARER)].lower() == BEARER:
+        return credentials[len(BEARER) :].decode(errors='replace').strip()
     return ''
 
 
--- a/src/siskinpass/process/fleet/relay_wire.py
+++ b/src/siskinpass/process/fleet/relay_wire.py
@@ -77,7 +77,7 @@
     first, _, rest = request.partition(LINE_END)
     headers = [
         b'%b: %b' % (SERVER, target.server.encode('latin-1')),
-        b'%b: %b' % (KEY, target.key.encode('latin-1')),
+        b'%b: %b' % (KEY, target.key.encode()),
     ]
     if target.is_fresh:
         headers.append(b'%b: %b' % (FRESH, FLAG_SET))
@@ -94,7 +94,7 @@
     """Return the target of a wrapped request."""
     return RelayTarget(
         (request.header(SERVER) or b'').decode('latin-1'),
-        (request.header(KEY) or b'').decode('latin-1'),
+        (request.header(KEY) or b'').decode(errors='replace'),
         is_fresh=request.header(FRESH) is not None,
     )
 
--- a/src/siskinpass/request/call.py
+++ b/src/siskinpass/request/call.py
@@ -106,17 +106,25 @@
 
 
 def _identify(head: RequestHead, version: TreeVersion) -> tuple[str, str]:
-    key = head.headers.get('authorization', '').removeprefix(BEARER)
+    key = _text(head, 'authorization').removeprefix(BEARER)
     found = version.keys.find(key) if key else None
     if found is None:
         raise RequestError(Code.unknown_key)
     workspace, entry = found
-    if head.headers.get(WORKSPACE_HEADER, workspace) != workspace:
+    if _text(head, WORKSPACE_HEADER, workspace) != workspace:
         raise RequestError(Code.unknown_workspace)
-    leaf = head.headers.get(CLASS_HEADER, entry.default_class)
+    leaf = _text(head, CLASS_HEADER, entry.default_class)
     return workspace, leaf
 
 
+def _text(head: RequestHead, name: str, default: str = '') -> str:
+    """Return a header to compare with texts of the tree, which are UTF-8."""
+    found = head.headers.get(name)
+    if found is None:
+        return default
+    return found.encode('latin-1').decode(errors='replace')
+
+
 def _parse_fields(body: bytes) -> dict[str, Any]:
     try:
         fields = orjson.loads(body)
--- a/src/siskinpass/request/identity.py
+++ b/src/siskinpass/request/identity.py
@@ -21,7 +21,7 @@
         request.method,
         call.host.encode('latin-1'),
         request.target,
-        call.key.encode('latin-1'),
+        call.key.encode(),
         *(part.key.encode('latin-1') for part in call.prompt.parts),
         request.body,
     )
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -1,6 +1,8 @@
 """Test the translation of request and response headers."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from siskinpass.platform.headers import (
     decode_answer,
@@ -105,6 +107,27 @@
         assert b'X-Tenant: w' in lines
         assert b'Content-Length: 4' in lines
 
+    @given(
+        st.text(st.characters()),
+        st.text(st.characters(max_codepoint=0xFF)),
+    )
+    def test_every_text_can_be_sent(self, workspace, last_event_id):
+        """No text adds a line, and none leaves a connection unused."""
+        call = decode_call(request(method=b'GET', body=b''))
+        context = SendContext(
+            'i-1', 1.0, workspace, last_event_id=last_event_id
+        )
+        head = encode_send(call, context).removesuffix(b'\r\n\r\n')
+        names = {line.partition(b':')[0] for line in head.split(b'\r\n')[1:]}
+        assert names <= {
+            b'X-Deadline-Ms',
+            b'X-Expect-Instance',
+            b'X-Tenant',
+            b'X-Request-Urgency',
+            b'Last-Event-Id',
+        }
+        assert b'\n' not in head.replace(b'\r\n', b'')
+
 
 class TestAnswer:
     """Test decoding of a response head."""
