Take no answer with an odd status, and no body of an informational one

What callers saw: after a server's head with the status 000, 001, 099 or 199 and five bytes, a whole 200 on the same connection reached the caller with the five bytes before its body. Heads with 600 and 999 were passed on.

Cause: BackendConnection took each status below 200 for informational, dropped its head and collected its body. The parser accepts any three digits and gives only some informational responses no body.

Evidence: a trace of the parser's callbacks shows two messages, so that the parser is ruled out.

Change: a status that is neither informational nor from 200 to 599, and a body of an informational response, fail the connection, which closes. Why it works: the class reads all answers, own, relayed, fetched and the daemon's, and nothing of a failed connection is passed on. Whether an answer ends with its connection no longer outlives the answer.

No format that instances or the store exchange changes.

--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -26,6 +26,10 @@
 # head, interim responses, or a response to another request.
 MAX_UNUSED_BYTES = 262_144
 STATUS_OK = 200
+STATUS_CONTINUE = 100
+LAST_STATUS = 599
+INTERIM_STATUSES = range(STATUS_CONTINUE, STATUS_OK)
+FINAL_STATUSES = range(STATUS_OK, LAST_STATUS + 1)
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 # Equal to the time that callers wait for the next event of a stream: a backend
 # server that acknowledges nothing for that long is treated as unreachable.
@@ -155,7 +159,8 @@
             httptools.HttpParserUpgrade,
         ) as error:
             self._pass_body()
-            self._fail_and_close(str(error))
+            # Errors of callbacks are wrapped by the parser.
+            self._fail_and_close(str(error.__context__ or error))
             return
         self._pass_body()
         self._unused_bytes = (
@@ -210,6 +215,7 @@
     def on_message_begin(self) -> None:
         """Start a response; record one that no request is waiting for."""
         self._headers = []
+        self._ends_at_close = False
         if self._sink is None:
             self._has_unsolicited_answer = True
 
@@ -218,23 +224,36 @@
         self._headers.append((name, text))
 
     def on_headers_complete(self) -> None:
-        """Pass the head to the sink; informational (1xx) ones are ignored."""
+        """Pass the head to the sink; informational (1xx) ones are ignored.
+
+        :raises BackendError: if the status is neither informational nor final.
+        """
         status = self._parser.get_status_code()
-        if self._sink is None or status < STATUS_OK:
+        if self._sink is None or status in INTERIM_STATUSES:
             return
+        if status not in FINAL_STATUSES:
+            raise BackendError(Code.backend_error, f'status {status}')
         headers = tuple(self._headers)
         self._ends_at_close = _ends_at_close(status, headers)
         self._is_skipping = not self._sink.receive_head(status, headers)
 
     def on_body(self, piece: bytes) -> None:
-        """Collect a piece of the body unless it is being skipped."""
+        """Collect a piece of the body unless it is being skipped.
+
+        :raises BackendError: if an informational response has a body.
+        """
+        status = self._parser.get_status_code()
+        if status in INTERIM_STATUSES:
+            raise BackendError(
+                Code.backend_error, f'status {status} with a body'
+            )
         if self._sink is not None and not self._is_skipping:
             self._has_used_bytes = True
             self._pieces.append(piece)
 
     def on_message_complete(self) -> None:
         """Complete the response unless it is informational or skipped."""
-        if self._parser.get_status_code() < STATUS_OK:
+        if self._parser.get_status_code() in INTERIM_STATUSES:
             return
         self._is_reusable = self._parser.should_keep_alive()
         self._pass_body()
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -95,6 +95,22 @@
         """Only a regular close completes a response without a length."""
         assert run(fetch(pieces, reset=reset)) == expected
 
+    @pytest.mark.parametrize('run', [asyncio.run, uvloop.run])
+    @pytest.mark.parametrize('skip', [0, 1], ids=['first', 'later'])
+    @pytest.mark.parametrize(
+        'framing', [b'Content-Length: 4\r\n\r\nlost', b'\r\n']
+    )
+    @pytest.mark.parametrize('status', [0, 1, 99, 199, 600, 999])
+    def test_odd_status_is_no_answer(self, status, framing, skip, run):
+        """Guards against a body that is joined to the next response's.
+
+        An informational response without a body is passed over.
+        """
+        odd = b'HTTP/1.1 %03d Odd\r\n%b' % (status, framing)
+        found = run(fetch([SIZED * skip, odd + SIZED], reset=False, skip=skip))
+        is_interim = (status, framing) == (199, b'\r\n')
+        assert found == (('whole', b'body') if is_interim else ('cut', b''))
+
     def test_skips_answer_of_another_request(self):
         """A late response to an earlier request is skipped."""
         late = HEAD + b'Content-Length: 5\r\n\r\nother'
