Drop the headers that any Connection line of a head names

What servers saw: of a head with two Connection lines, a header that the first of them names, such as HTTP2-Settings, was forwarded. The same held for answers.

Cause: the lines were looked up in a mapping of headers, which keeps the last line of a name.

Change: the names of all lines are collected. No format that instances or the store exchange changes.

--- a/src/siskinpass/platform/headers.py
+++ b/src/siskinpass/platform/headers.py
@@ -75,7 +75,9 @@
     """
     by_name = {name.lower(): text for name, text in request.headers}
     dropped = (
-        HOP_BY_HOP_HEADERS | SYSTEM_HEADERS | _listed_in_connection(by_name)
+        HOP_BY_HOP_HEADERS
+        | SYSTEM_HEADERS
+        | _listed_in_connection(request.headers)
     )
     return InboundRequest(
         request=request,
@@ -105,7 +107,7 @@
 def decode_answer(status: int, headers: tuple[Header, ...]) -> AnswerHead:
     """Return the head of a response with its headers decoded."""
     by_name = {name.lower(): text for name, text in headers}
-    dropped = HOP_BY_HOP_HEADERS | _listed_in_connection(by_name)
+    dropped = HOP_BY_HOP_HEADERS | _listed_in_connection(headers)
     return AnswerHead(
         notice=_decode_notice(status, by_name),
         status=status,
@@ -171,9 +173,12 @@
     ]
 
 
-def _listed_in_connection(by_name: dict[bytes, bytes]) -> frozenset[bytes]:
-    named = by_name.get(b'connection', b'').lower().split(b',')
-    return frozenset(name.strip() for name in named)
+def _listed_in_connection(headers: tuple[Header, ...]) -> frozenset[bytes]:
+    """Return the names that all ``Connection`` lines of a head list."""
+    listed = b','.join(
+        text for name, text in headers if name.lower() == b'connection'
+    )
+    return frozenset(name.strip() for name in listed.lower().split(b','))
 
 
 def _without(
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -85,8 +85,9 @@
         """Hop-by-hop headers and those named in ``Connection`` are dropped."""
         call = decode_call(
             request(
-                (b'Connection', b'close, X-Own'),
+                (b'Connection', b'Upgrade, X-Own'),
                 (b'X-Own', b'1'),
+                (b'connection', b'close'),
                 (b'Transfer-Encoding', b'chunked'),
                 (b'X-Kept', b'2'),
             ),
