Read requests that offer an upgrade by their framing

What callers saw: an order whose head offers an upgrade (Connection: Upgrade with Upgrade: h2c) ran with an empty body and got 200; a 400 that no request asked for followed on the connection.

Cause: the parser reports the end of such a message at the end of its head and only then that an upgrade was asked for. The reader queued the request at the first report, without its body, and took the second for a fault.

Change: a head with an offer gives no request and is parsed once more without its Upgrade lines. This holds for every listener, as all use this reader, and for any framing, as the parser itself reads it in the second pass. CONNECT is refused before anything is queued.

No format between instances changes.

--- a/src/siskinpass/connection/request_reader.py
+++ b/src/siskinpass/connection/request_reader.py
@@ -25,6 +25,8 @@
 LINE_END = b'\r\n'
 HTTP_VERSIONS = frozenset(('1.0', '1.1'))
 CHUNKED = b'chunked'
+UPGRADE = b'upgrade'
+CONNECT = b'CONNECT'
 
 
 class RequestCollector:
@@ -32,7 +34,8 @@
 
     What follows a complete request is kept as it arrived until that request
     was taken, so that little is held in parsed form. Header lines after a body
-    are dropped: they would pass for those of the head.
+    are dropped: they would pass for those of the head. An offer to go on in
+    another protocol is passed over, as if the head did not hold it.
     """
 
     def __init__(
@@ -55,6 +58,9 @@
         self._body = bytearray()
         self._has_begun = False
         self._in_head = False
+        # Whether the head offers an upgrade, for which the parser takes what
+        # follows for another protocol.
+        self._offers_upgrade = False
         # Smallest size of the head received so far, which the parser does not
         # tell.
         self._head_bytes = 0
@@ -144,18 +150,25 @@
             self.fault = Code.header_too_large
 
     def on_headers_complete(self) -> None:
-        """Finish the head; answer ``Expect: 100-continue``."""
+        """Finish the head; answer ``Expect: 100-continue``.
+
+        A head that offers an upgrade is parsed once more without the offer.
+        """
         self._in_head = False
+        self._offers_upgrade = self._parser.should_upgrade()
+        if self._offers_upgrade:
+            if self._parser.get_method() == CONNECT:
+                self.fault = Code.malformed_head
+            self._check_head_size()
+            return
         self._framing_bytes = 0
         self._body_left = 0
         expects = self._read_framing()
-        limits = self._limits()
         if self._parser.get_http_version() not in HTTP_VERSIONS:
             self.fault = Code.malformed_head
-        if self._body_left > limits.body_bytes:
+        if self._body_left > self._limits().body_bytes:
             self.fault = Code.body_too_large
-        if self._head_bytes > limits.head_bytes:
-            self.fault = Code.header_too_large
+        self._check_head_size()
         if expects and self.fault is None:
             self._send_continue()
 
@@ -169,6 +182,8 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request until earlier ones are answered."""
+        if self._offers_upgrade:
+            return
         self._has_begun = False
         self._framing_bytes = 0
         if self.fault is not None:
@@ -207,8 +222,8 @@
     def _feed(self, piece: bytes) -> None:
         self._framing_bytes += len(piece)
         try:
-            self._parser.feed_data(piece)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._parse_all(piece)
+        except httptools.HttpParserError:
             self.fault = self.fault or Code.malformed_head
             return
         limits = self._limits()
@@ -217,6 +232,38 @@
         elif self._framing_bytes > limits.head_bytes:
             self.fault = self.fault or Code.header_too_large
 
+    def _parse_all(self, piece: bytes) -> None:
+        """Parse a piece, across heads that offer an upgrade.
+
+        :raises httptools.HttpParserError: if it is malformed.
+        """
+        while piece and self.fault is None:
+            try:
+                self._parser.feed_data(piece)
+            except httptools.HttpParserUpgrade as upgrade:
+                end = upgrade.args[0]
+                piece = self._head_without_offer() + piece[end:]
+                self._parser = httptools.HttpRequestParser(self)
+            else:
+                return
+
+    def _head_without_offer(self) -> bytes:
+        start = b'%b %b HTTP/%b' % (
+            self._parser.get_method(),
+            bytes(self._target),
+            self._parser.get_http_version().encode(),
+        )
+        lines = (
+            b'%b: %b' % header
+            for header in self._headers
+            if header[0].lower() != UPGRADE
+        )
+        return LINE_END.join((start, *lines, b'', b''))
+
+    def _check_head_size(self) -> None:
+        if self._head_bytes > self._limits().head_bytes:
+            self.fault = Code.header_too_large
+
     def _read_framing(self) -> bool:
         """Read the length of the body.
 
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -146,6 +146,20 @@
         server = BrokenServer(answers, None, has_good_before=not is_first)
         play(server, path, len(answers), is_relayed=is_relayed)
 
+    @own_and_relayed
+    @each_path
+    def test_switch_of_protocols_is_no_answer(self, path, is_relayed):
+        """No upgrade is asked for, so that none may follow."""
+        switch = (
+            b'HTTP/1.1 101 Switch\r\nX-Attempt-Id: %b\r\n%bUpgrade: h2c\r\n\r\n'
+        )
+        answers = [
+            switch.replace(b'%bUp', line + b'Up') + LOST
+            for line in (b'', b'Connection: Upgrade\r\n')
+        ]
+        server = BrokenServer(answers, None, has_good_before=False)
+        play(server, path, len(answers), is_relayed=is_relayed)
+
     @own_and_relayed
     @each_path
     @pytest.mark.parametrize('is_half_closed', [False, True])
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -173,6 +173,22 @@
         assert b'X-Siskinpass-Ran: no\r\n' in answer
         assert send_jobs([counter()], target(cluster, entry))[0].complete
 
+    def test_offer_of_an_upgrade_is_passed_over(self, cluster):
+        """The body is read by its length, and each request gets one answer."""
+        body = json.dumps(BODY).encode()
+        wire = head(
+            cluster,
+            COUNTER,
+            'Connection: Upgrade, HTTP2-Settings',
+            'Upgrade: h2c',
+            'HTTP2-Settings: AAMAAABk',
+            f'Content-Length: {len(body)}',
+        )
+        last = with_body(cluster, BODY, COUNTER)
+        answer = send_raw(cluster.entries[0].callers, wire + body + last)
+        assert answer.count(b'HTTP/1.1 200 ') == 2
+        assert answer.count(b'HTTP/1.1 ') == 2
+
     def test_body_cut_short(self, cluster):
         """A body that ends early has another code than a slow one."""
         wire = head(cluster, COUNTER, 'Content-Length: 90') + b'{'
--- a/tests/test_request_reader.py
+++ b/tests/test_request_reader.py
@@ -215,6 +215,94 @@
         assert collector.held_bytes < 2 * sent
 
 
+OFFERS = {
+    'h2c': (
+        b'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n'
+        b'HTTP2-Settings: AAMAAABk\r\n'
+    ),
+    'websocket': (
+        b'Connection: keep-alive, Upgrade\r\nUpgrade: websocket\r\n'
+        b'Sec-WebSocket-Key: dGhl\r\n'
+    ),
+    'several': b'Upgrade: TLS/1.3\r\nUpgrade: h2c\r\nConnection: upgrade\r\n',
+    'another case': b'upgrade: H2C\r\nCONNECTION: UPGRADE\r\n',
+}
+BODIES = {
+    'no body': (b'\r\n', b''),
+    'no length': (b'Content-Length: 0\r\n\r\n', b''),
+    'a length': (b'Content-Length: 5\r\n\r\norder', b'order'),
+    'chunks': (CHUNKED + b'\r\n5\r\norder\r\n' + ENDED, b'order'),
+    'a request as body': (b'Content-Length: %d\r\n\r\n' % len(GET) + GET, GET),
+}
+
+
+class TestUpgradeOffers:
+    """Test requests that offer to go on in another protocol."""
+
+    @pytest.mark.parametrize('cut', [lambda wire: [wire], bytes_of])
+    @pytest.mark.parametrize(('rest', 'body'), BODIES.values(), ids=BODIES)
+    @pytest.mark.parametrize('offer', OFFERS.values(), ids=OFFERS)
+    def test_reads_the_request_by_its_framing(self, offer, rest, body, cut):
+        """Guards against a request that runs without its body."""
+        (first, second, last), fault = read(
+            cut((START + offer + rest) * 2 + GET)
+        )
+        assert fault is None
+        assert (first.method, first.target, first.body) == (
+            b'POST',
+            b'/x',
+            body,
+        )
+        assert first.keep_alive
+        assert b'upgrade' not in {name.lower() for name, _ in first.headers}
+        assert second == first
+        assert last.method == b'GET'
+
+    @pytest.mark.parametrize('offer', OFFERS.values(), ids=OFFERS)
+    def test_asks_once_for_a_body(self, offer):
+        """A caller that waits for an interim response gets one."""
+        asked = []
+        collector = RequestCollector(lambda: asked.append(1), lambda: LIMITS)
+        collector.add(START + offer + b'Expect: 100-continue\r\n')
+        collector.add(b'Content-Length: 5\r\n\r\n')
+        collector.parse()
+        assert (len(asked), len(collector.complete)) == (1, 0)
+        collector.add(b'order')
+        collector.parse()
+        assert collector.take().body == b'order'
+
+    @pytest.mark.parametrize('cut', [lambda wire: [wire], bytes_of])
+    @pytest.mark.parametrize(
+        'wire',
+        [
+            b'CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n',
+            b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n',
+        ],
+    )
+    def test_other_protocols_are_refused(self, wire, cut):
+        """A tunnel or HTTP/2 without an offer gives no request."""
+        assert read(cut(wire + GET)) == ([], Code.malformed_head)
+
+    @pytest.mark.parametrize('rest', MALFORMED.values(), ids=MALFORMED)
+    @pytest.mark.parametrize('cut', [lambda wire: [wire], bytes_of])
+    def test_malformed_requests_are_refused(self, rest, cut):
+        """An offer hides no framing that parsers read differently."""
+        wire = START + OFFERS['h2c'] + rest + GET
+        assert read(cut(wire)) == ([], Code.malformed_head)
+
+    @pytest.mark.parametrize(
+        ('limits', 'code'),
+        [
+            (CallerLimits(head_bytes=90), Code.header_too_large),
+            (CallerLimits(body_bytes=4), Code.body_too_large),
+        ],
+    )
+    def test_limits_hold(self, limits, code):
+        """An offer is no way around the limits."""
+        wire = START + OFFERS['h2c'] + BODIES['a length'][0]
+        assert read([wire], limits) == ([], code)
+
+
 TOKEN = st.text('abcxyz!#$-.^_|~', min_size=1, max_size=9).map(str.encode)
 VALUE = st.text('abc :;,=\xff"', max_size=9).map(
     lambda text: text.strip().encode('latin-1')
@@ -229,6 +317,8 @@
     """Return the bytes of a request, and what must be read from them."""
     headers = draw(HEADERS)
     lines = [b'POST /x HTTP/1.1', *(b'%b: %b' % line for line in headers)]
+    offer = draw(st.sampled_from([b'', *OFFERS.values()]))
+    lines.extend(offer.splitlines())
     empty = b'\r\n' * draw(st.integers(0, 3))
     if draw(st.booleans()):
         body = draw(st.binary(max_size=60))
@@ -262,7 +352,8 @@
         ]
         found, fault = read(pieces)
         assert fault is None
-        framing = {b'content-length', b'transfer-encoding'}
+        framing = {b'content-length', b'transfer-encoding', b'connection'}
+        framing |= {b'http2-settings', b'sec-websocket-key'}
         assert [
             (
                 tuple(
