Read pages with odd values without a stand-still of the event loop

What callers saw: while another writer wrote 40 entries of 50 kB with one infinite number each at the servers' pace, all instances stood still for seconds at a time and most requests got no answer.

Cause: orjson refuses a page with such a number. The salvage then called a Python function for each scalar of the page and parsed it value by value, in one turn of the event loop: 1.5 s for 1 MB.

Store answers beyond 64 kB are decoded in a thread. Messages write out only the beginning of a wrong value.

No format changes.

--- a/src/siskinpass/platform/duties.py
+++ b/src/siskinpass/platform/duties.py
@@ -1,5 +1,6 @@
 """Translate calls of the cloud API and the lease object of the duties."""
 
+import reprlib
 from functools import singledispatch
 from typing import Any
 
@@ -157,7 +158,7 @@
     :raises FormatError: if the row is anything else, or a count out of range.
     """
     if not isinstance(row, list) or len(row) != WINDOW_COLUMNS:
-        raise FormatError(Code.document_wrong, f'window: {row!r:.60}')
+        raise FormatError(Code.document_wrong, f'window: {reprlib.repr(row)}')
     window, counts = row
     table = as_table(counts, 'counts')
     return read_whole({'window': window}, 'window'), {
@@ -168,7 +169,7 @@
 
 def _decode_order(row: Any) -> CapacityOrder:
     if not isinstance(row, list) or len(row) != ORDER_COLUMNS:
-        raise FormatError(Code.document_wrong, f'order: {row!r:.60}')
+        raise FormatError(Code.document_wrong, f'order: {reprlib.repr(row)}')
     service, zone, is_spot, count = row
     table = {'service': service, 'zone': zone, 'spot': is_spot, 'count': count}
     return CapacityOrder(
--- a/src/siskinpass/platform/fields.py
+++ b/src/siskinpass/platform/fields.py
@@ -1,6 +1,7 @@
 """Read typed fields of decoded documents."""
 
 import ipaddress
+import reprlib
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
@@ -73,7 +74,7 @@
     if is_flag or not isinstance(found, kind):
         raise FormatError(
             Code.document_wrong,
-            f'{name}: missing or of the wrong type: {found!r:.60}',
+            f'{name}: missing or of the wrong type: {reprlib.repr(found)}',
         )
     return found
 
--- a/src/siskinpass/process/fleet/duty_parts.py
+++ b/src/siskinpass/process/fleet/duty_parts.py
@@ -1,6 +1,7 @@
 """Create the parts of the duties, and exchange usage with other instances."""
 
 import asyncio
+import reprlib
 import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
@@ -317,11 +318,11 @@
 
 def _text(found: Any) -> str:
     if not isinstance(found, str):
-        raise TypeError(f'expected a name, got {found!r:.60}')
+        raise TypeError(f'expected a name, got {reprlib.repr(found)}')
     return found
 
 
 def _whole(found: Any) -> int:
     if isinstance(found, bool) or not isinstance(found, int) or found < 0:
-        raise TypeError(f'expected a whole number, got {found!r:.60}')
+        raise TypeError(f'expected a whole number, got {reprlib.repr(found)}')
     return found
--- a/src/siskinpass/process/fleet/store_client.py
+++ b/src/siskinpass/process/fleet/store_client.py
@@ -10,7 +10,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import Any, TypeVar
 
 from siskinpass.codes import Code
 from siskinpass.connection.backend import BackendPool, PoolPolicy
@@ -35,8 +35,12 @@
 CONNECT_TIMEOUT_S = 0.5
 IDLE_TIMEOUT_S = 10.0
 MAX_IDLE = 4
+# Longer bodies are decoded in a thread.
+INLINE_BYTES = 65_536
 STORE_POOL = PoolPolicy(CONNECT_TIMEOUT_S, IDLE_TIMEOUT_S, MAX_IDLE)
 
+Decoded = TypeVar('Decoded', objects.Page, objects.StoredObject)
+
 
 @dataclass(frozen=True, slots=True)
 class ObjectAnswer:
@@ -96,7 +100,7 @@
         while True:
             path = objects.list_path(kind, after, stale=stale)
             answer = await self._read('list', path, CALL_TIMEOUT_S)
-            page = objects.decode_list(answer.body)
+            page = await _decode(objects.decode_list, answer.body)
             found.extend(page.stored)
             after = page.next_name
             if not after:
@@ -118,7 +122,8 @@
         answer = await self._read('watch', path, wait_s + WATCH_MARGIN_S)
         if answer.status == objects.STATUS_GONE:
             return None
-        return replace(objects.decode_watch(answer.body), era=self._era)
+        page = await _decode(objects.decode_watch, answer.body)
+        return replace(page, era=self._era)
 
     async def create(self, kind: str, name: str, body: Any) -> None:
         """Create an object.
@@ -162,9 +167,8 @@
         if answer.status == objects.STATUS_NOT_FOUND:
             return ObjectAnswer(None, self._era_of(answer))
         _check(answer, objects.STATUS_OK)
-        return ObjectAnswer(
-            objects.decode_object(answer.body), self._era_of(answer)
-        )
+        found = await _decode(objects.decode_object, answer.body)
+        return ObjectAnswer(found, self._era_of(answer))
 
     async def write_if(
         self, kind: str, name: str, body: Any, revision: int
@@ -193,9 +197,9 @@
             objects.STATUS_CONFLICT,
         )
         if answer.status == objects.STATUS_CONFLICT:
-            found = objects.decode_object(answer.body)
+            found = await _decode(objects.decode_object, answer.body)
             return ObjectAnswer(found, era, is_done=False)
-        return ObjectAnswer(_written(answer), era)
+        return ObjectAnswer(await _written(answer), era)
 
     def _era_of(self, answer: FetchedAnswer) -> int:
         """Return the era that an answer states.
@@ -288,8 +292,18 @@
         raise StoreError(Code.store_down, f'status {answer.status}')
 
 
-def _written(answer: FetchedAnswer) -> objects.StoredObject | None:
+async def _written(answer: FetchedAnswer) -> objects.StoredObject | None:
     try:
-        return objects.decode_object(answer.body)
+        return await _decode(objects.decode_object, answer.body)
     except FormatError:
         return None
+
+
+async def _decode(decode: Callable[[bytes], Decoded], body: bytes) -> Decoded:
+    """Return a decoded body, without holding the event loop up for long.
+
+    :raises FormatError: if the body cannot be read.
+    """
+    if len(body) <= INLINE_BYTES:
+        return decode(body)
+    return await asyncio.to_thread(decode, body)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+from threading import current_thread, main_thread
+from types import SimpleNamespace
 
 import orjson
 import pytest
@@ -17,6 +19,7 @@
     wait_until,
 )
 from siskinpass.exceptions import FormatError
+from siskinpass.platform import fields, salvage
 from siskinpass.platform.config import CONFIG_KIND
 from siskinpass.platform.directory import decode_member
 from siskinpass.platform.objects import (
@@ -29,7 +32,8 @@
 from siskinpass.platform.stream_records import STREAMS_KIND
 from siskinpass.process.codec import encode_member, encode_server
 from siskinpass.process.fleet.loads import LoadExchange
-from standins.fleet import ODD, BackendServer
+from siskinpass.process.fleet.store_client import INLINE_BYTES, StoreClient
+from standins.fleet import ODD, BackendServer, ObjectStore
 from standins.http_server import serve
 
 STATUS_OK = 200
@@ -66,6 +70,16 @@
 )
 
 
+class Unprintable:
+    """Value that counts how often it is written out."""
+
+    count = 0
+
+    def __repr__(self):
+        type(self).count += 1
+        return 'x'
+
+
 class TestServers:
     """Test which entries name a server."""
 
@@ -197,6 +211,83 @@
         )
         assert page.stored[0].name == text
 
+    @pytest.mark.parametrize(
+        ('item', 'odd', 'count'),
+        [
+            (b'7', b'1e999', 25_000),
+            (b'1.5', b'NaN', 12_000),
+            (b'"x"', b'"\x5cudcff"', 12_000),
+            (b'[]', b'1e-999', 16_000),
+        ],
+    )
+    def test_only_odd_values_are_looked_at(self, item, odd, count, monkeypatch):
+        """Guards against an event loop that stands still for each page.
+
+        The parser of whole documents is much faster than any code here.
+        """
+        looks = []
+        represent = salvage._representable
+        monkeypatch.setattr(
+            salvage,
+            '_representable',
+            lambda found: looks.append(1) or represent(found),
+        )
+        monkeypatch.setattr(salvage, '_parse_nested', None)
+        samples = b'[%b]' % b','.join([odd, *[item] * count])
+        items = [
+            b'{"metadata":{"name":"%d"},"spec":%b}' % (number, samples)
+            for number in range(40)
+        ]
+        page = decode_list(b'{"items":[%b],"current-rev":9}' % b','.join(items))
+        assert len(page.stored[-1].body) == count + 1
+        # What follows the last of them and the end are two more.
+        assert len(looks) <= len(items) + 2
+
+    @pytest.mark.parametrize('call', ['list', 'watch', 'get'])
+    def test_large_answers_are_decoded_beside_the_event_loop(
+        self, call, monkeypatch
+    ):
+        """An instance answers its callers meanwhile."""
+        threads = []
+        parse = fields.orjson.loads
+        monkeypatch.setattr(
+            fields,
+            'orjson',
+            SimpleNamespace(
+                JSONDecodeError=orjson.JSONDecodeError,
+                loads=lambda body: (
+                    threads.append(current_thread()) or parse(body)
+                ),
+            ),
+        )
+
+        async def scenario():
+            store = ObjectStore()
+            port = free_ports(1)[0]
+            async with await serve(store, '127.0.0.1', port):
+                await store.put('kind', 'large', ['x' * INLINE_BYTES])
+                client = StoreClient(
+                    f'127.0.0.1:{port}', lambda call, outcome: None
+                )
+                if call == 'list':
+                    await client.list_kind('kind')
+                elif call == 'watch':
+                    await client.watch_kind('kind', 0, 1)
+                else:
+                    await client.read_object('kind', 'large', stale=False)
+                await client.read_object('kind', 'large', stale=False)
+
+        asyncio.run(asyncio.wait_for(scenario(), 30))
+        assert len(threads) == 2
+        assert main_thread() not in threads
+
+    def test_long_values_are_named_in_short(self):
+        """A message about a value costs as little as its text."""
+        with pytest.raises(FormatError) as caught:
+            decode_server('i-1', GOOD | {'state': [Unprintable()] * 100_000})
+        assert len(str(caught.value)) < 200
+        assert Unprintable.count < 100
+
     def test_what_is_not_json_is_refused(self):
         """A page that breaks off is not taken for a shorter one."""
         with pytest.raises(FormatError):
