Refuse prompts that no server holds, and take back declined work

What callers saw: after eight requests of 4,000,000 tokens, which the servers reject at once, requests of their tier and below were refused for minutes while the servers were idle.

Cause: a grant adds its whole prompt to the estimated backlog of the server on all instances. Nothing bounded it by a server's memory, and nothing took it back when the server stated that it had not run the request.

Ruled out: that the servers count as failing.

Change: a prompt larger than the stated memory is refused with 503 and code 2021 before work is booked; a declined prompt is taken back here and, by an announcement with a negative count, at the others; counts book nothing where no memory is stated. So no estimate exceeds what a server could accept.

--- a/src/siskinpass/codes.py
+++ b/src/siskinpass/codes.py
@@ -58,6 +58,7 @@
     version_gone = 2017
     workspace_share = 2018
     memory_full = 2020
+    prompt_too_large = 2021
 
     backend_unreachable = 3001
     stream_cut = 3002
@@ -176,6 +177,9 @@
     Code.memory_full: _refused(
         'This instance holds too much for other requests.',
     ),
+    Code.prompt_too_large: _refused(
+        'The prompt is larger than the memory of a backend server.',
+    ),
     Code.backend_unreachable: Meaning(
         502,
         Ran.not_run,
--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -64,6 +64,7 @@
 
     ticket: Ticket
     granted: asyncio.Future[ServerView]
+    placed: PromptPlaced | None = None
 
 
 class Assigner:
@@ -229,6 +230,7 @@
         *,
         failed: bool,
         server_error: bool = False,
+        is_declined: bool = False,
         events: int = 0,
     ) -> None:
         """Release the ticket's slot; releasing it twice has no effect.
@@ -236,17 +238,23 @@
         :param failed: whether the server could not be reached or gave no
             complete and valid answer.
         :param server_error: whether the server answered with an error.
+        :param is_declined: whether the server stated that it did not run the
+            request.
         :param events: events of a stream that was received whole.
         """
-        if self._acquisitions.pop(ticket.ticket_id, None) is not None:
+        acquisition = self._acquisitions.pop(ticket.ticket_id, None)
+        if acquisition is not None:
             if failed or server_error:
                 self.demand.note_failed(ticket.ticket_id)
             else:
                 self.demand.note_ended(ticket.ticket_id, self._loop.time())
             released = GrantReleased(
-                ticket.ticket_id, failed, server_error, events
+                ticket.ticket_id, failed, server_error, events, is_declined
             )
             self._apply(ticket.pool, released)
+            placed = acquisition.placed
+            if is_declined and placed is not None and placed.unread:
+                self._on_placed(replace(placed, unread=-placed.unread))
             self._log_speeds(ticket.pool)
 
     def set_servers(self, views: Iterable[ServerView]) -> None:
@@ -354,15 +362,14 @@
             )
             return
         if command.pieces:
-            self._on_placed(
-                PromptPlaced(
-                    command.server,
-                    command.pieces,
-                    command.unread,
-                    acquisition.ticket.tier,
-                    is_tight=acquisition.ticket.is_tight,
-                )
+            acquisition.placed = PromptPlaced(
+                command.server,
+                command.pieces,
+                command.unread,
+                acquisition.ticket.tier,
+                is_tight=acquisition.ticket.is_tight,
             )
+            self._on_placed(acquisition.placed)
         self.demand.note_granted(
             command.ticket_id, view, command.unread, self._loop.time()
         )
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -259,6 +259,10 @@
             self._started_s + min(caller_timeout_s, route.timeout_s),
         )
         service = route.pick_service(random.random())
+        memory_tokens = table.memory_of(service)
+        if memory_tokens and self._call.prompt.size > memory_tokens:
+            self._refuse(Code.prompt_too_large)
+            return
         self._context.note_request(service)
         self._route_name = route.name
         self._may_repeat = route.may_repeat
@@ -339,6 +343,7 @@
             in {AttemptOutcome.unsent, AttemptOutcome.lost, AttemptOutcome.cut},
             server_error=ending
             in {AttemptOutcome.failed, AttemptOutcome.declined},
+            is_declined=ending is AttemptOutcome.declined,
             events=_whole_events(self._parser, attempt_result, self._sends),
         )
 
--- a/src/siskinpass/process/fleet/tickets.py
+++ b/src/siskinpass/process/fleet/tickets.py
@@ -35,6 +35,9 @@
         """Return the tier of the request."""
 
 
+NO_PROMPT = Prompt()
+
+
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """One attempt of a request.
@@ -62,7 +65,8 @@
 ) -> Ticket:
     """Return the ticket of one attempt."""
     route = plan.route
-    prompt = call.prompt
+    # Without an engine of a known size nothing bounds what a caller states.
+    prompt = call.prompt if plan.table.memory_of(plan.service) else NO_PROMPT
     remaining_s = plan.deadline_s - attempt.now_s
     return Ticket(
         ticket_id=attempt.ticket_id,
--- a/src/siskinpass/process/grants.py
+++ b/src/siskinpass/process/grants.py
@@ -70,7 +70,8 @@
         """
         name = server.view.name
         cache = self._table.cache
-        unread = ticket.tokens_in - cache.cached_tokens(name, ticket.pieces)
+        cached = cache.cached_tokens(name, ticket.pieces)
+        unread = max(0, ticket.tokens_in - cached)
         cache.record(name, ticket.pieces)
         grant = ActiveGrant(
             ticket,
@@ -112,6 +113,8 @@
         if server is not None:
             self._observe_pace(grant, server, event.events, now_s)
             server.add(-grant.load)
+            if event.is_declined:
+                server.schedule_prefill(-grant.unread, grant.ticket, now_s)
             is_failure = event.failed or event.server_error
             server.update_failure_rate(now_s, is_failure=is_failure)
             server.update_ejection(now_s, failed=event.failed)
@@ -176,8 +179,8 @@
     @_handle_event.register
     def _handle_placed(self, event: PromptPlaced, now_s: float) -> None:
         self._table.cache.record(event.server, event.pieces)
-        if event.unread:
-            # Otherwise the part is only listed as cached.
+        if event.unread > 0:
+            # Otherwise the part is only listed as cached, or was declined.
             self._table.zones.note_part(shared_key(event.pieces), now_s)
         server = self._table.find(event.server)
         if server is not None:
--- a/src/siskinpass/process/placement.py
+++ b/src/siskinpass/process/placement.py
@@ -134,7 +134,8 @@
     ) -> None:
         """Add a placed prompt to the estimated prefill backlog.
 
-        :param unread: prompt tokens that the server does not have cached.
+        :param unread: prompt tokens that the server does not have cached;
+            below 0 to take back a prompt that it declined.
         """
         speed = self.speed.factor
         self.placed_tokens += unread
--- a/src/siskinpass/process/prefill.py
+++ b/src/siskinpass/process/prefill.py
@@ -25,7 +25,8 @@
     ) -> None:
         """Add a prompt, which delays its own tier and all tiers below it.
 
-        :param tokens: prompt tokens that the engine does not have cached.
+        :param tokens: prompt tokens that the engine does not have cached;
+            below 0 to take back as many of the same tier.
         :param speed: of the engine; 1 for an even one.
         """
         prefill_s = tokens / (PREFILL_TOKENS_PER_S * speed)
--- a/src/siskinpass/request/inbound.py
+++ b/src/siskinpass/request/inbound.py
@@ -88,6 +88,11 @@
             return min(self.tokens_out_hint, self.max_tokens_out)
         return self.max_tokens_out
 
+    @property
+    def size(self) -> int:
+        """Return the tokens that a server has to hold before the first one."""
+        return max(self.tokens_in, sum(part.tokens for part in self.parts))
+
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
         """Return the parts that other requests may share."""
--- a/src/siskinpass/request/ticket.py
+++ b/src/siskinpass/request/ticket.py
@@ -161,12 +161,15 @@
     :param server_error: whether the server answered, but with an error of its
         own.
     :param events: events of a stream that was received whole, 0 where unknown.
+    :param is_declined: whether the server stated that it did not run the
+        request.
     """
 
     ticket_id: str
     failed: bool = False
     server_error: bool = False
     events: int = 0
+    is_declined: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -257,7 +260,8 @@
     an engine lists as cached when the instance starts.
 
     :param pieces: parts of the prompt.
-    :param unread: tokens that the server still had to prefill at that time.
+    :param unread: tokens that the server still had to prefill at that time;
+        below 0 for those of a prompt that the server declined.
     :param tier: tier of its request.
     :param is_tight: whether its stream allows only short pauses.
     """
--- a/src/siskinpass/version/routes.py
+++ b/src/siskinpass/version/routes.py
@@ -209,6 +209,16 @@
         """Return the workspace that a key belongs to, or None."""
         return self._by_key.get(key)
 
+    def memory_of(self, service: str) -> int:
+        """Return the tokens that one server of a service holds.
+
+        :returns: 0 if the service has no model engine, or its size is not
+            known.
+        """
+        found = self.services.get(service)
+        engine = found.engine if found else None
+        return engine.kv_capacity_tokens if engine else 0
+
     def tier_of(self, route: Route, workspace: Workspace | None) -> int:
         """Return the tier of a request, 0 for the most urgent of the table.
 
