Bound what is remembered of prompts of very many parts

What callers saw: prompts of 1,700 parts of one token, inside all limits, made all instances exceed their memory every 11 s, and the platform ended them.

Cause: the map of cached parts has an entry for each part on each server, bounded by tokens only, on all instances. Parsed parts of requests in progress take 20 times the bytes of their header and were not booked.

Change: short parts are joined to pieces of 128 tokens, the map is bounded over all servers by the machine's memory with each server's oldest parts forgotten first, and items of lists in headers are booked. The callers' share of the memory gives way to the map. An announcement without parts no longer raises where zones count.

Format: parts that stand alone keep their hashes; joined ones are new and unknown to the production build.

--- a/src/siskinpass/connection/held_bytes.py
+++ b/src/siskinpass/connection/held_bytes.py
@@ -19,9 +19,11 @@
 SMALL_BYTES = 65_536
 READ_BYTES = 262_144  # that one read of the event loop may bring
 BYTES_PER_MB = 1_000_000
-# Share of the machine's memory. The code and the state of a process take about
+# Shares of the machine's memory. The code and the state of a process take about
 # 45 MB, and the allocator keeps up to as much again of what was freed.
-BUDGET_SHARE = 0.4
+BUDGET_SHARE = 0.35
+PARTS_SHARE = 0.05
+PART_BYTES = 250  # of a prompt part that a server has cached
 PAUSE_SHARE = 0.5  # of the budget
 # Of the budget, above it for requests that hold little.
 SMALL_RESERVE_SHARE = 0.125
@@ -35,6 +37,7 @@
 ACCEPTED_S = 1.0
 RESERVED_FDS = 200  # for files
 DEFAULT_MEMORY_MB = 300
+MAX_PARTS = 60_000  # of a machine of that size
 DEFAULT_MAX_FDS = 4096
 
 
@@ -91,10 +94,13 @@
 
     :param budget_bytes: memory above which connections are refused or closed.
     :param connections: connections that are open at the same time.
+    :param prompt_parts: cached prompt parts that are known at most, over all
+        services.
     """
 
     budget_bytes: int
     connections: int
+    prompt_parts: int = MAX_PARTS
 
     @property
     def max_body_bytes(self) -> int:
@@ -112,6 +118,7 @@
     return HoldLimits(
         int(memory_mb * BYTES_PER_MB * BUDGET_SHARE),
         max(1, int((max_fds - RESERVED_FDS) * CONNECTION_SHARE)),
+        int(memory_mb * BYTES_PER_MB * PARTS_SHARE / PART_BYTES),
     )
 
 
--- a/src/siskinpass/connection/request_reader.py
+++ b/src/siskinpass/connection/request_reader.py
@@ -20,12 +20,14 @@
 # Memory of a header line beside its text: a tuple, two objects with their
 # headers, and the places that lists of headers have for it.
 LINE_BYTES = 200
+ITEM_BYTES = 200  # of an item of a list in a header, once it is parsed
 REQUEST_BYTES = 1024  # of a request beside its lines and its body
 MIN_LINE_BYTES = 3  # of the separators of a line
 LINE_END = b'\r\n'
 HTTP_VERSIONS = frozenset(('1.0', '1.1'))
 CHUNKED = b'chunked'
 UPGRADE = b'upgrade'
+ITEM_END = b','
 CONNECT = b'CONNECT'
 
 
@@ -295,10 +297,12 @@
 def request_cost(request: WireRequest) -> int:
     """Return the memory that a complete request takes."""
     lines = sum(len(name) + len(text) for name, text in request.headers)
+    items = sum(text.count(ITEM_END) for _, text in request.headers)
     return (
         REQUEST_BYTES
         + len(request.target)
         + lines
         + LINE_BYTES * len(request.headers)
+        + ITEM_BYTES * items
         + len(request.body)
     )
--- a/src/siskinpass/process/broker.py
+++ b/src/siskinpass/process/broker.py
@@ -11,6 +11,7 @@
 from functools import singledispatchmethod
 
 from siskinpass.codes import Code
+from siskinpass.process.cache_map import MAX_PARTS, CacheMap
 from siskinpass.process.demand import Demand
 from siskinpass.process.grants import ActiveGrants
 from siskinpass.process.limits import LimitPolicy
@@ -68,6 +69,7 @@
     :param moves: whether servers that became slow are marked as such and
         streams are moved off them.
     :param kv_capacity_tokens: KV cache capacity of each engine in tokens.
+    :param max_parts: cached prompt parts that are known at most.
     :param probe_after: consecutive failures after which a server gets only
         one request at a time.
     :param waits_for_ticks: whether waiting tickets are tried on clock ticks
@@ -89,6 +91,7 @@
     chooser: Chooser | None = None
     moves: bool = True
     kv_capacity_tokens: int = 0
+    max_parts: int = MAX_PARTS
     probe_after: int = 1
     waits_for_ticks: bool = False
     learns_speeds: bool = False
@@ -107,7 +110,7 @@
             policy.limit,
             at_random=policy.at_random,
             chooser=policy.chooser,
-            kv_capacity_tokens=policy.kv_capacity_tokens,
+            cache=CacheMap(policy.kv_capacity_tokens, policy.max_parts),
             probe_after=policy.probe_after,
             learns_speeds=policy.learns_speeds,
         )
--- a/src/siskinpass/process/cache_map.py
+++ b/src/siskinpass/process/cache_map.py
@@ -6,14 +6,17 @@
 prompt counts.
 """
 
+import math
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from siskinpass.request.ticket import PromptPiece
 
 # Fraction of an engine's KV cache that holds parts of earlier prompts; running
 # requests use the rest.
 CACHE_FRACTION = 0.7
+MAX_PARTS = 60_000
+SHRINK_FRACTION = 0.1  # forgotten at once, so that it happens rarely
 
 
 class ServerCache:
@@ -29,7 +32,7 @@
         self.resize(kv_capacity_tokens)
 
     @property
-    def keys(self) -> Iterable[int]:
+    def keys(self) -> Collection[int]:
         """Return the keys of the cached parts."""
         return self._parts
 
@@ -67,24 +70,40 @@
                 added.append(piece.key)
         return added, self._evict_oldest()
 
+    def shrink(self) -> list[int]:
+        """Evict the least recently used of the parts.
+
+        :returns: keys of the evicted parts.
+        """
+        count = math.ceil(len(self._parts) * SHRINK_FRACTION)
+        return [self._evict() for _ in range(count)]
+
+    def _evict(self) -> int:
+        key, tokens = self._parts.popitem(last=False)
+        self._tokens -= tokens
+        return key
+
     def _evict_oldest(self) -> list[int]:
         evicted = []
         while self._tokens > self._max_cached_tokens and self._parts:
-            key, tokens = self._parts.popitem(last=False)
-            self._tokens -= tokens
-            evicted.append(key)
+            evicted.append(self._evict())
         return evicted
 
 
 class CacheMap:
     """Prompt parts that the servers of a group probably have cached."""
 
-    def __init__(self, kv_capacity_tokens: int) -> None:
+    def __init__(
+        self, kv_capacity_tokens: int, max_parts: int = MAX_PARTS
+    ) -> None:
         """Initialize a map without servers.
 
         :param kv_capacity_tokens: KV cache capacity of each engine in tokens.
+        :param max_parts: parts that are known at most, over all servers.
         """
         self._kv_capacity_tokens = kv_capacity_tokens
+        self._max_parts = max_parts
+        self._known_parts = 0
         self._caches: dict[str, ServerCache] = {}
         # Names of the servers that have a part, by its key. Most parts are on
         # one server, for which a tuple is small.
@@ -111,10 +130,16 @@
         added, evicted = cache.record(pieces)
         for key in added:
             self._holders[key] = (*self._holders.get(key, ()), server)
+        self._known_parts += len(added)
         self._remove_holder(server, evicted)
-
-    def resize(self, kv_capacity_tokens: int) -> None:
-        """Set the KV cache capacity of all engines."""
+        if self._known_parts > self._max_parts:
+            self._shrink()
+
+    def resize(
+        self, kv_capacity_tokens: int, max_parts: int = MAX_PARTS
+    ) -> None:
+        """Set the KV cache capacity of all engines and the bound on parts."""
+        self._max_parts = max_parts
         if kv_capacity_tokens != self._kv_capacity_tokens:
             self._kv_capacity_tokens = kv_capacity_tokens
             for name, cache in self._caches.items():
@@ -126,7 +151,13 @@
         if cache is not None:
             self._remove_holder(server, cache.keys)
 
-    def _remove_holder(self, server: str, keys: Iterable[int]) -> None:
+    def _shrink(self) -> None:
+        """Forget the same share of each server's parts, the oldest first."""
+        for name, cache in self._caches.items():
+            self._remove_holder(name, cache.shrink())
+
+    def _remove_holder(self, server: str, keys: Collection[int]) -> None:
+        self._known_parts -= len(keys)
         for key in keys:
             others = tuple(
                 name for name in self._holders[key] if name != server
--- a/src/siskinpass/process/fleet/assigner.py
+++ b/src/siskinpass/process/fleet/assigner.py
@@ -270,8 +270,10 @@
         for pool in self._brokers.keys() | by_pool.keys():
             # The configuration may arrive after the engines that it describes
             # were listed, so their cache size is updated each time.
-            kv_capacity_tokens = self._policy_for(pool).kv_capacity_tokens
-            self.broker(pool).table.cache.resize(kv_capacity_tokens)
+            policy = self._policy_for(pool)
+            self.broker(pool).table.cache.resize(
+                policy.kv_capacity_tokens, policy.max_parts
+            )
             self._apply(pool, ServersListed(tuple(by_pool.get(pool, ()))))
             if self._shares:
                 # A server that is new here may be limited already.
--- a/src/siskinpass/process/fleet/kept_parts.py
+++ b/src/siskinpass/process/fleet/kept_parts.py
@@ -14,9 +14,9 @@
 from siskinpass.connection.fetch import fetch
 from siskinpass.exceptions import BackendError, SiskinpassError
 from siskinpass.platform.engines import KEPT_PARTS_REQUEST, decode_kept_parts
-from siskinpass.process.fleet.tickets import hash_parts
+from siskinpass.process.fleet.tickets import hash_listed
 from siskinpass.process.logs import ComponentLog
-from siskinpass.request.inbound import STATUS_OK, Prompt
+from siskinpass.request.inbound import STATUS_OK
 from siskinpass.request.ticket import PromptPlaced, ServerView
 
 # An engine answers between two steps, which take up to 0.2 s on a slow engine.
@@ -67,7 +67,7 @@
                 cause=str(error),
             )
             return
-        self._on_parts(PromptPlaced(engine.name, hash_parts(Prompt(parts))))
+        self._on_parts(PromptPlaced(engine.name, hash_listed(parts)))
         self._log.note(
             'An engine listed its cached prompt parts.',
             server=engine.name,
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -408,13 +408,13 @@
 
     def _policy_for(self, pool: str) -> BrokerPolicy:
         table = self._state.table()
-        service = table.services.get(pool) if table else None
-        engine = service.engine if service else None
-        kv_capacity_tokens = engine.kv_capacity_tokens if engine else 0
+        engine_count = table.engine_count if table else 0
         return fleet_policy(
-            kv_capacity_tokens,
+            table.memory_of(pool) if table else 0,
             self._settings.placement_zone,
             learns_speeds=self._settings.learns_speeds,
+            max_parts=self._settings.callers_hold.prompt_parts
+            // max(1, engine_count),
         )
 
     def _update_servers(self, views: Iterable[ServerView]) -> None:
--- a/src/siskinpass/process/fleet/tickets.py
+++ b/src/siskinpass/process/fleet/tickets.py
@@ -1,17 +1,21 @@
 """Tickets with which requests wait for a backend server. Pure logic."""
 
 import hashlib
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
 from siskinpass.request.identity import is_identity
-from siskinpass.request.inbound import InboundRequest, Prompt
+from siskinpass.request.inbound import InboundRequest, Prompt, PromptPart
 from siskinpass.request.ticket import PromptPiece, Ticket
 from siskinpass.version.routes import Route, RouteTable, Workspace
 
 MAX_URGENCY = 9
 KEY_BYTES = 8
 # Limits of what instances announce of a prompt.
+# Shorter pieces save an engine little.
+MIN_PIECE_TOKENS = 128
+NAME_SEPARATOR = ','  # which no name has
 MAX_NAME_LENGTH = 64
 MAX_NAMED_PARTS = 32
 # A request waits for a server for at most this fraction of its remaining time.
@@ -91,10 +95,30 @@
 
 
 def hash_parts(prompt: Prompt) -> tuple[PromptPiece, ...]:
-    """Return the parts of a prompt, with hashes in place of their names."""
-    return tuple(
-        PromptPiece(_hash(part.key), part.tokens) for part in prompt.parts
-    )
+    """Return the parts of a prompt, with hashes in place of their names.
+
+    Shared parts that follow each other are joined until a piece has
+    ``MIN_PIECE_TOKENS``, which bounds the pieces by the length of the prompt:
+    callers may send thousands of parts of a token each. Prompts that begin
+    with the same parts begin with the same pieces.
+    """
+    pieces: list[PromptPiece] = []
+    names: list[str] = []
+    tokens = 0
+    for part in prompt.shared_parts:
+        names.append(part.key)
+        tokens += part.tokens
+        if tokens >= MIN_PIECE_TOKENS:
+            pieces.append(PromptPiece(_hash(*names), tokens))
+            names, tokens = [], 0
+    if names:
+        pieces.append(PromptPiece(_hash(*names), tokens))
+    return (*pieces, *hash_listed(prompt.parts[-1:]))
+
+
+def hash_listed(parts: Iterable[PromptPart]) -> tuple[PromptPiece, ...]:
+    """Return parts that need not be of one prompt, each as a piece."""
+    return tuple(PromptPiece(_hash(part.key), part.tokens) for part in parts)
 
 
 def shared_part_names(prompt: Prompt) -> tuple[str, ...]:
@@ -116,6 +140,8 @@
     return min(MAX_URGENCY, max(0, tier))
 
 
-def _hash(key: str) -> int:
-    digest = hashlib.blake2b(key.encode(), digest_size=KEY_BYTES)
+def _hash(*names: str) -> int:
+    digest = hashlib.blake2b(
+        NAME_SEPARATOR.join(names).encode(), digest_size=KEY_BYTES
+    )
     return int.from_bytes(digest.digest())
--- a/src/siskinpass/process/grants.py
+++ b/src/siskinpass/process/grants.py
@@ -179,7 +179,7 @@
     @_handle_event.register
     def _handle_placed(self, event: PromptPlaced, now_s: float) -> None:
         self._table.cache.record(event.server, event.pieces)
-        if event.unread > 0:
+        if event.unread > 0 and event.pieces:
             # Otherwise the part is only listed as cached, or was declined.
             self._table.zones.note_part(shared_key(event.pieces), now_s)
         server = self._table.find(event.server)
--- a/src/siskinpass/process/placement.py
+++ b/src/siskinpass/process/placement.py
@@ -287,7 +287,7 @@
         *,
         at_random: bool,
         chooser: Chooser | None = None,
-        kv_capacity_tokens: int = 0,
+        cache: CacheMap | None = None,
         probe_after: int = 1,
         learns_speeds: bool = True,
     ) -> None:
@@ -298,7 +298,7 @@
             load and speed.
         :param chooser: chooses among the servers with a free slot; replaces
             the cost by slots and token time.
-        :param kv_capacity_tokens: KV cache capacity of each engine in tokens.
+        :param cache: cached prompt parts of each server, ``None`` for none.
         :param probe_after: failures in a row after which a server gets one
             request at a time.
         :param learns_speeds: whether servers may count as faster or slower
@@ -312,7 +312,7 @@
         self._chooser = chooser
         self.now_s = 0.0
         self._probe_after = probe_after
-        self.cache = CacheMap(kv_capacity_tokens)
+        self.cache = cache or CacheMap(0)
         self.changed: set[str] = set()
         self.order: LoadOrder | None = None
         # Rises when the list of servers or their speeds change.
--- a/src/siskinpass/version/routes.py
+++ b/src/siskinpass/version/routes.py
@@ -238,6 +238,11 @@
         """
         return route.pause_s > 0 and route.pause_s == self._tight_pause_s
 
+    @cached_property
+    def engine_count(self) -> int:
+        """Return the number of services that have model engines."""
+        return sum(one.engine is not None for one in self.services.values())
+
     @cached_property
     def resumable_services(self) -> frozenset[str]:
         """Return the services that have streams which may be resumed."""
