Pause between listings while the store forgets its history

What callers saw: suspected to be behind a configuration that came into force seconds late, once, while the store had no history.

Cause: a watch whose history is gone led to a listing at once, without the delay that failures have. While history is gone all the time, each reader lists all kinds without a pause and uses up the store's reads and the time of small machines, at the cost of the configuration.

Evidence: read in the code and shown by a test that records the calls; the late configuration itself was not reproduced.

Change: listings that serve no watch follow each other with the delays of failures, 0.1 to 0.6 s; the first one follows at once.

No format changes.

--- a/src/siskinpass/process/fleet/watch.py
+++ b/src/siskinpass/process/fleet/watch.py
@@ -93,6 +93,8 @@
         self._revision: int | None = None
         self._era: int | None = None
         self._failures = 0
+        # Watches in a row that found the history gone, each after a listing.
+        self._lost_histories = 0
         # Between the last answer and the watch that waits now.
         self._paused_s = 0.0
 
@@ -124,11 +126,24 @@
                 kind=self._kind,
             )
             self._revision = None
+            await self._delay_listing()
             return
+        self._lost_histories = 0
         self._apply_page(page)
         self._paused_s = COALESCE_S if page.stored else 0.0
         await asyncio.sleep(self._paused_s)
 
+    async def _delay_listing(self) -> None:
+        """Wait before a listing, unless the last one has served a watch.
+
+        While the store forgets its history all the time, each instance would
+        list without a pause, and the listings of large kinds would take the
+        time and the store's rate from those of small ones.
+        """
+        if self._lost_histories:
+            await asyncio.sleep(_retry_s(self._lost_histories))
+        self._lost_histories += 1
+
     async def _list(self) -> None:
         page = await self._store.list_kind(self._kind)
         is_restored = self._era is not None and page.era > self._era
@@ -167,5 +182,10 @@
             # The watch has waited long enough, and other instances have theirs
             # at other times.
             return 0.0
-        max_s = min(MAX_RETRY_S, MIN_RETRY_S * 2**self._failures)
-        return random.uniform(MIN_RETRY_S, max_s)
+        return _retry_s(self._failures)
+
+
+def _retry_s(count: int) -> float:
+    """Return the delay after so many failures in a row."""
+    max_s = min(MAX_RETRY_S, MIN_RETRY_S * 2**count)
+    return random.uniform(MIN_RETRY_S, max_s)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -1,13 +1,17 @@
 """Test watching the store when answers are lost or the store is down."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
 from bench.fleet import free_ports, wait_until
+from siskinpass.platform.objects import Page
 from siskinpass.process.fleet.settings import OperatorBounds
 from siskinpass.process.fleet.store_client import WATCH_MARGIN_S, StoreClient
 from siskinpass.process.fleet.watch import (
+    MAX_RETRY_S,
+    MIN_RETRY_S,
     Changed,
     KindWatch,
     Listed,
@@ -18,6 +22,7 @@
 from standins.http_server import serve
 
 KIND = 'things'
+FORGOTTEN = 8  # watches
 
 
 class Follower:
@@ -48,8 +53,8 @@
     port = free_ports(1)[0]
     server = await serve(store, '127.0.0.1', port)
     client = StoreClient(f'127.0.0.1:{port}', lambda call, outcome: None)
-    watch = KindWatch(client, KIND, lambda: wait_s, follower.apply)
-    task = asyncio.create_task(watch.run())
+    kind_watch = KindWatch(client, KIND, lambda: wait_s, follower.apply)
+    task = asyncio.create_task(kind_watch.run())
     await store.put(KIND, 'first', 1)
     await wait_until(lambda: 'first' in follower.names, 'the first object')
     await scenario(store, follower)
@@ -115,3 +120,78 @@
         operator_bounds = OperatorBounds(config_s=config_s, contact_s=contact_s)
         wait_s = watch_wait_s(operator_bounds, has_followers=has_followers)
         assert 0 < wait_s + WATCH_MARGIN_S < limit_s
+
+
+class ForgetfulStore:
+    """Client of a store whose history is always gone.
+
+    :ivar calls: names of the calls and delays, in order.
+    """
+
+    def __init__(self):
+        self.calls = []
+
+    async def list_kind(self, kind):
+        """Return an empty listing."""
+        self.calls.append('list')
+        return Page((), len(self.calls), era=1)
+
+    async def watch_kind(self, kind, revision, wait_s):
+        """Return that the history is gone, and cancel after some calls."""
+        self.calls.append('watch')
+        if self.calls.count('watch') == FORGOTTEN:
+            raise asyncio.CancelledError
+
+    async def sleep(self, delay_s):
+        """Record a delay in place of waiting for it."""
+        self.calls.append(delay_s)
+
+
+class TestForgottenHistory:
+    """Test a store that forgets its history."""
+
+    def test_listings_follow_each_other_with_delays(self, monkeypatch):
+        """Guards against a configuration that is late behind listings.
+
+        Each instance listed all kinds without a pause, which used up the
+        store's rate and the time of small machines.
+        """
+        store = ForgetfulStore()
+        monkeypatch.setattr(
+            'siskinpass.process.fleet.watch.asyncio',
+            SimpleNamespace(sleep=store.sleep),
+        )
+        task = KindWatch(store, KIND, lambda: 1.0, lambda update: None).run()
+        with pytest.raises(asyncio.CancelledError):
+            asyncio.run(task)
+        delays = [one for one in store.calls if isinstance(one, float)]
+        assert store.calls[:4] == ['list', 'watch', 'list', 'watch']
+        assert len(delays) == FORGOTTEN - 2
+        assert all(MIN_RETRY_S <= one <= MAX_RETRY_S for one in delays)
+
+    @pytest.mark.parametrize('is_first', [True, False])
+    def test_changes_are_listed_meanwhile(self, is_first):
+        """Before the first watch is answered, and between two of them."""
+
+        async def scenario(store, follower):
+            if not is_first:
+                await store.put(KIND, 'second', 1)
+                await wait_until(
+                    lambda: 'second' in follower.names, 'the second object'
+                )
+            store.history_from = 10**9
+            for number in range(9):
+                await store.put(KIND, f'{number}', 1)
+            await store.remove(KIND, 'first')
+            await wait_until(
+                lambda: (
+                    'first' not in follower.names
+                    and f'{number}' in follower.names
+                ),
+                'the listing',
+            )
+            store.history_from = 0
+            await store.put(KIND, 'last', 1)
+            await wait_until(lambda: 'last' in follower.names, 'the last one')
+
+        asyncio.run(follow(scenario))
