Derive the bound on prompt parts from the memory in one place

Cause: the reading of the diff found the number for the default machine in two modules, and a refused prompt logged without its route.

Change: the bound is a property of the limits, and the route is noted first.

--- a/src/siskinpass/connection/held_bytes.py
+++ b/src/siskinpass/connection/held_bytes.py
@@ -37,7 +37,6 @@
 ACCEPTED_S = 1.0
 RESERVED_FDS = 200  # for files
 DEFAULT_MEMORY_MB = 300
-MAX_PARTS = 60_000  # of a machine of that size
 DEFAULT_MAX_FDS = 4096
 
 
@@ -94,19 +93,25 @@
 
     :param budget_bytes: memory above which connections are refused or closed.
     :param connections: connections that are open at the same time.
-    :param prompt_parts: cached prompt parts that are known at most, over all
-        services.
     """
 
     budget_bytes: int
     connections: int
-    prompt_parts: int = MAX_PARTS
 
     @property
     def max_body_bytes(self) -> int:
         """Return the size of the largest body that fits."""
         return int(self.budget_bytes * MAX_BODY_SHARE)
 
+    @property
+    def prompt_parts(self) -> int:
+        """Return how many cached prompt parts are known, over all services.
+
+        They have a share of the machine's memory beside the budget.
+        """
+        memory_bytes = self.budget_bytes / BUDGET_SHARE
+        return int(memory_bytes * PARTS_SHARE / PART_BYTES)
+
 
 def hold_limits(
     memory_mb: float = DEFAULT_MEMORY_MB, max_fds: int = DEFAULT_MAX_FDS
@@ -118,7 +123,6 @@
     return HoldLimits(
         int(memory_mb * BYTES_PER_MB * BUDGET_SHARE),
         max(1, int((max_fds - RESERVED_FDS) * CONNECTION_SHARE)),
-        int(memory_mb * BYTES_PER_MB * PARTS_SHARE / PART_BYTES),
     )
 
 
--- a/src/siskinpass/process/cache_map.py
+++ b/src/siskinpass/process/cache_map.py
@@ -15,7 +15,7 @@
 # Fraction of an engine's KV cache that holds parts of earlier prompts; running
 # requests use the rest.
 CACHE_FRACTION = 0.7
-MAX_PARTS = 60_000
+MAX_PARTS = 60_000  # over all servers
 SHRINK_FRACTION = 0.1  # forgotten at once, so that it happens rarely
 
 
--- a/src/siskinpass/process/fleet/forward.py
+++ b/src/siskinpass/process/fleet/forward.py
@@ -259,12 +259,12 @@
             self._started_s + min(caller_timeout_s, route.timeout_s),
         )
         service = route.pick_service(random.random())
+        self._route_name = route.name
         memory_tokens = table.memory_of(service)
         if memory_tokens and self._call.prompt.size > memory_tokens:
             self._refuse(Code.prompt_too_large)
             return
         self._context.note_request(service)
-        self._route_name = route.name
         self._may_repeat = route.may_repeat
         if route.is_stream:
             self._parser = EventStreamParser(self._started_s)
--- a/src/siskinpass/process/fleet/tickets.py
+++ b/src/siskinpass/process/fleet/tickets.py
@@ -12,10 +12,10 @@
 
 MAX_URGENCY = 9
 KEY_BYTES = 8
-# Limits of what instances announce of a prompt.
 # Shorter pieces save an engine little.
 MIN_PIECE_TOKENS = 128
 NAME_SEPARATOR = ','  # which no name has
+# Limits of what instances announce of a prompt.
 MAX_NAME_LENGTH = 64
 MAX_NAMED_PARTS = 32
 # A request waits for a server for at most this fraction of its remaining time.
