Read on a connection that was paused as its answer ended

What callers would see: a request on such a connection gets no answer until its timeout.

Cause: reading is paused for a slow caller and resumed for the same request. Where one read pauses it and brings the answer's end, the connection went to the idle pool paused.

Evidence: read by a reviewer; a test with two requests on one connection failed before with both event loops.

Change: reading is resumed as a connection goes to the pool.

Measured: test_backend_connection.py passes. No format changes.

--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -292,6 +292,8 @@
         if self._has_unsolicited_answer or not self._is_reusable:
             self._transport.abort()
         elif self.is_open:
+            # The response may have ended in the read in which it was paused.
+            self._transport.resume_reading()
             self._on_idle(self)
 
     def _fail_and_close(self, cause: str) -> None:
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -47,6 +47,18 @@
         self.ended.set_result('unsent' if is_unsent else 'cut')
 
 
+class PausingCollector(Collector):
+    """Sink that pauses its connection with each piece of a body."""
+
+    def __init__(self, connection):
+        super().__init__()
+        self._connection = connection
+
+    def receive_body(self, piece):
+        super().receive_body(piece)
+        self._connection.set_reading(on=False)
+
+
 def answer_once(listener, pieces, *, reset):
     """Answer one connection in pieces, then close or reset it."""
     listener.settimeout(5)
@@ -182,6 +194,26 @@
 
         assert asyncio.run(fetch_chunks()) == ('whole', b'x' * 1000, 1)
 
+    @pytest.mark.parametrize('run', [asyncio.run, uvloop.run])
+    def test_connection_paused_at_the_end_is_read_again(self, run):
+        """Guards against a reused connection whose answer is never read."""
+
+        async def fetch_twice():
+            with socket.create_server(('127.0.0.1', 0)) as listener:
+                host, port = listener.getsockname()
+                pool = BackendPool(asyncio.get_running_loop())
+                address = f'{host}:{port}'
+                connection = await pool.connect(address, fresh=True)
+                peer, _ = listener.accept()
+                for collector in (PausingCollector(connection), Collector()):
+                    connection.send(b'GET / HTTP/1.1\r\n\r\n', collector)
+                    peer.sendall(SIZED)
+                    await asyncio.wait_for(collector.ended, 5)
+                    assert pool.reuse(address) is connection
+                peer.close()
+
+        run(fetch_twice())
+
     def test_drops_unsolicited_answer(self):
         """A second response without a request is discarded."""
         found = asyncio.run(fetch([SIZED + SIZED], reset=False))
