Watch a listing of several pages from its first page on

What instances would miss: a change of an object of an earlier page while the later ones are read.

Cause: the watch began at the last page's revision.

Change: the first page's revision is used, and changes that a later page shows already are applied once more. Pages of two eras are no listing.

No format changes.

--- a/src/siskinpass/process/fleet/store_client.py
+++ b/src/siskinpass/process/fleet/store_client.py
@@ -97,14 +97,22 @@
         """
         found: list[objects.StoredObject] = []
         after = ''
+        # Changes made between the pages are watched from the first one on.
+        revision = None
         while True:
             path = objects.list_path(kind, after, stale=stale)
             answer = await self._read('list', path, CALL_TIMEOUT_S)
             page = await _decode(objects.decode_list, answer.body)
+            if revision is None:
+                revision, era = page.revision, self._era
+            elif era != self._era:
+                raise StoreError(
+                    Code.store_down, 'restored between two pages of a listing'
+                )
             found.extend(page.stored)
             after = page.next_name
             if not after:
-                return objects.Page(tuple(found), page.revision, era=self._era)
+                return objects.Page(tuple(found), revision, era=era)
 
     async def watch_kind(
         self,
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -3,9 +3,12 @@
 import asyncio
 from types import SimpleNamespace
 
+import orjson
 import pytest
 
 from bench.fleet import free_ports, wait_until
+from siskinpass.connection.fetch import FetchedAnswer
+from siskinpass.exceptions import StoreError
 from siskinpass.platform.objects import Page
 from siskinpass.process.fleet.settings import OperatorBounds
 from siskinpass.process.fleet.store_client import WATCH_MARGIN_S, StoreClient
@@ -147,6 +150,51 @@
         self.calls.append(delay_s)
 
 
+class PagedStore(StoreClient):
+    """Client of a store that answers a listing page by page.
+
+    :param eras: era of each page.
+    """
+
+    def __init__(self, eras):
+        super().__init__('127.0.0.1:1', lambda call, outcome: None)
+        self._eras = iter(enumerate(eras))
+        self._last = len(eras) - 1
+
+    async def _read(self, call, path, timeout_s):
+        """Return the next page, at a later revision than the one before."""
+        number, self._era = next(self._eras)
+        page = {
+            'items': [{'metadata': {'name': f'{number}'}}],
+            'has-more': number < self._last,
+            'current-rev': 10 + number,
+        }
+        return FetchedAnswer(200, orjson.dumps(page))
+
+
+class TestPages:
+    """Test listings of several pages."""
+
+    def test_changes_between_pages_are_watched(self):
+        """Guards against an object of the first page that stays as it was."""
+
+        async def scenario():
+            return await PagedStore([1, 1, 1]).list_kind(KIND)
+
+        page = asyncio.run(scenario())
+        assert [one.name for one in page.stored] == ['0', '1', '2']
+        assert page.revision == 10
+
+    def test_pages_of_two_eras_are_no_listing(self):
+        """The revision of the first one says nothing in the other era."""
+
+        async def scenario():
+            await PagedStore([1, 2]).list_kind(KIND)
+
+        with pytest.raises(StoreError):
+            asyncio.run(scenario())
+
+
 class TestForgottenHistory:
     """Test a store that forgets its history."""
 
