Answer HEAD requests with the head of the server's answer

What callers saw: a HEAD request to a server that states a length ended with 504 at its timeout.

Cause: the parser of answers does not know the request and waits for a body.

Change: a connection whose request is HEAD ends the answer with its head and is closed. Callers get no Content-Length, as that of a GET is not known.

No format changes.

--- a/src/siskinpass/connection/backend.py
+++ b/src/siskinpass/connection/backend.py
@@ -25,6 +25,7 @@
 # Bytes that may arrive without any of them belonging to the response's body: a
 # head, interim responses, or a response to another request.
 MAX_UNUSED_BYTES = 262_144
+HEAD = b'HEAD '
 STATUS_OK = 200
 STATUS_CONTINUE = 100
 LAST_STATUS = 599
@@ -88,6 +89,8 @@
         self._has_unsolicited_answer = False
         self._ends_at_close = False
         self._is_ending = False
+        # Whether the response has no body, whatever length it states.
+        self._is_bodiless = False
         self._is_reusable = False
         self._unused_bytes = 0
         self._has_used_bytes = False
@@ -181,6 +184,7 @@
             sink.receive_failure(ConnectError(Code.backend_unreachable))
             return
         self._sink = sink
+        self._is_bodiless = request.startswith(HEAD)
         self._is_reusable = False
         self._unused_bytes = 0
         self._transport.write(request)
@@ -236,6 +240,9 @@
         headers = tuple(self._headers)
         self._ends_at_close = _ends_at_close(status, headers)
         self._is_skipping = not self._sink.receive_head(status, headers)
+        if self._is_bodiless and not self._is_skipping:
+            # The parser waits for a body, so that the connection is closed.
+            self._end()
 
     def on_body(self, piece: bytes) -> None:
         """Collect a piece of the body unless it is being skipped.
@@ -255,7 +262,9 @@
         """Complete the response unless it is informational or skipped."""
         if self._parser.get_status_code() in INTERIM_STATUSES:
             return
-        self._is_reusable = self._parser.should_keep_alive()
+        self._is_reusable = (
+            self._parser.should_keep_alive() and not self._is_bodiless
+        )
         self._pass_body()
         if not self._is_skipping:
             self._end()
--- a/src/siskinpass/connection/http_caller.py
+++ b/src/siskinpass/connection/http_caller.py
@@ -158,11 +158,15 @@
         keep_alive = self._should_keep_alive() and not is_last
         pieces = (body,) if isinstance(body, bytes) else body
         length = sum(len(piece) for piece in pieces)
-        sent_headers = (*headers, (b'Content-Length', b'%d' % length))
+        is_head = self._method == b'HEAD'
+        sent_headers = headers
+        if not is_head:
+            # The length that a GET would be answered with is not known.
+            sent_headers = (*headers, (b'Content-Length', b'%d' % length))
         if not keep_alive:
             sent_headers = (*sent_headers, CLOSE_HEADER)
         self.write(encode_head(status, sent_headers))
-        for piece in () if self._method == b'HEAD' else pieces:
+        for piece in () if is_head else pieces:
             self.write(piece)
         self._finish(keep_alive=keep_alive)
 
