Find the route of requests whose Host names a port

What callers saw: 404 for a Host with a port, which clients send for every port but 80.

Cause: the whole text was compared with the hosts of routes.

Change: a port behind the name is left out of the comparison; the header is forwarded as it came.

--- a/src/siskinpass/platform/headers.py
+++ b/src/siskinpass/platform/headers.py
@@ -81,7 +81,7 @@
     )
     return InboundRequest(
         request=request,
-        host=_header_text(by_name, b'host'),
+        host=_host_name(_header_text(by_name, b'host')),
         call_id=_header_text(by_name, CALL_ID),
         caller_timeout_s=_nonnegative_number(_header_text(by_name, DEADLINE))
         / MS_PER_S,
@@ -207,6 +207,12 @@
     return PromptPart(key, _token_count(tokens))
 
 
+def _host_name(text: str) -> str:
+    """Return a host without its port, which clients name unless it is 80."""
+    name, _, port = text.rpartition(':')
+    return name if port.isdecimal() else text
+
+
 def _bearer(credentials: bytes) -> str:
     """Return the key, which is compared with texts of the configuration."""
     if credentials[: len(BEARER)].lower() == BEARER:
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -74,6 +74,25 @@
         call = decode_call(request((name, text)))
         assert (call.caller_timeout_s, call.prompt.tokens_in) == (0.0, 0)
 
+    @pytest.mark.parametrize(
+        ('text', 'host'),
+        [
+            (b'h.example', 'h.example'),
+            (b'h.example:8227', 'h.example'),
+            (b'127.0.0.1:80', '127.0.0.1'),
+            (b'[::1]:80', '[::1]'),
+            (b'[::1]', '[::1]'),
+            (b'h.example:', 'h.example:'),
+            (b'h:x', 'h:x'),
+            (b'', ''),
+        ],
+    )
+    def test_port_is_no_part_of_the_host(self, text, host):
+        """Clients that name the port found no route."""
+        call = decode_call(request((b'Host', text)))
+        assert call.host == host
+        assert call.headers == ((b'Host', text),)
+
     @pytest.mark.parametrize('name', FORGED_HEADERS)
     def test_forged_system_headers_are_dropped(self, name):
         """Headers that only this system sets are not taken from a caller."""
