Start own and relayed fleets of the new tests in one place

Cause: four new modules had the same set-up.

Change: one context manager starts the fleet and waits until it serves.

--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -6,12 +6,11 @@
 
 import pytest
 
-from bench.fleet import WHOLE, running_fleet, wait_until
-from siskinpass.process.fleet.settings import SMALL_FLEET
+from bench.fleet import WHOLE
 from standins.early_server import NO_LINGER
-from standins.paths import PathState
 from standins.raw_requests import CALL, read_calls
-from tests.test_stray_refusals import listen, served
+from tests.relayed_fleet import own_or_relayed_fleet
+from tests.test_stray_refusals import listen
 
 EVENTS = b'id: 1\ndata: a\n\n'
 HEAD = (
@@ -179,11 +178,7 @@
     """
 
     async def scenario():
-        async with running_fleet(2, 1, SMALL_FLEET, has_paths=True) as fleet:
-            if is_relayed:
-                ip = fleet.ips['front-1']
-                await fleet.paths.cut([ip], PathState.reset)
-            await wait_until(lambda: served(fleet, '/safe/x'), 'the server')
+        async with own_or_relayed_fleet(is_relayed=is_relayed) as fleet:
             listener = await listen(fleet, 'i-broken', server)
             await fleet.store.remove('servers', 'i-0')
             for number in range(MAX_REQUESTS):
--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -4,11 +4,10 @@
 
 import pytest
 
-from bench.fleet import HOST, KEY, exchange, running_fleet, wait_until
-from siskinpass.process.fleet.settings import SMALL_FLEET
-from standins.paths import PathState
+from bench.fleet import HOST, KEY, exchange
 from standins.raw_requests import CALL
-from tests.test_stray_refusals import listen, served
+from tests.relayed_fleet import own_or_relayed_fleet
+from tests.test_stray_refusals import listen
 
 HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Seal: s\r\n'
 FRAMINGS = {
@@ -54,13 +53,7 @@
         )
 
         async def scenario():
-            async with running_fleet(
-                2, 1, SMALL_FLEET, has_paths=True
-            ) as fleet:
-                if is_relayed:
-                    ip = fleet.ips['front-1']
-                    await fleet.paths.cut([ip], PathState.reset)
-                await wait_until(lambda: served(fleet, '/safe/x'), 'the server')
+            async with own_or_relayed_fleet(is_relayed=is_relayed) as fleet:
                 server = HeadServer(framing)
                 listener = await listen(fleet, 'i-head', server)
                 await fleet.store.remove('servers', 'i-0')
--- a/tests/test_upgrade_offers.py
+++ b/tests/test_upgrade_offers.py
@@ -10,10 +10,8 @@
     LOCALHOST,
     METRICS,
     running_fleet,
-    wait_until,
 )
-from siskinpass.process.fleet.settings import SMALL_FLEET
-from standins.paths import PathState
+from tests.relayed_fleet import own_or_relayed_fleet
 
 OFFERS = {
     'h2c': (
@@ -66,13 +64,7 @@
         last = start.replace('c-1', 'c-2') + offer + CLOSE + framing
 
         async def scenario():
-            async with running_fleet(
-                2, 1, SMALL_FLEET, has_paths=True
-            ) as fleet:
-                if is_relayed:
-                    ip = fleet.ips['front-1']
-                    await fleet.paths.cut([ip], PathState.reset)
-                await wait_until(lambda: is_served(fleet), 'the server')
+            async with own_or_relayed_fleet(is_relayed=is_relayed) as fleet:
                 before = len(fleet.runs)
                 port = fleet.ports['front-1'][0]
                 arrived = await exchange_slowly(
@@ -129,8 +121,3 @@
                 assert not fleet.runs
 
         asyncio.run(asyncio.wait_for(scenario(), 60))
-
-
-async def is_served(fleet):
-    """Return whether a request gets an answer of a server."""
-    return (await fleet.ask('/safe/x')).status == 200
--- a/tests/test_workspace_names.py
+++ b/tests/test_workspace_names.py
@@ -4,14 +4,13 @@
 
 import pytest
 
-from bench.fleet import KEY, config, running_fleet, wait_until
-from siskinpass.process.fleet.settings import SMALL_FLEET
+from bench.fleet import KEY, config, wait_until
 from siskinpass.request.call import parse_call
 from siskinpass.request.head import RequestHead
 from siskinpass.version.document import parse_tree
 from siskinpass.version.keys import KeyTable, make_key
 from siskinpass.version.repository import TreeVersion
-from standins.paths import PathState
+from tests.relayed_fleet import own_or_relayed_fleet
 
 NAMES = {
     'beyond Latin-1': ('Győri Napközösség', 'Győri Napközösség'),
@@ -44,15 +43,7 @@
         """Guards against closed connections instead of answers."""
 
         async def scenario():
-            async with running_fleet(
-                2, 1, SMALL_FLEET, has_paths=True
-            ) as fleet:
-                if is_relayed:
-                    ip = fleet.ips['front-1']
-                    await fleet.paths.cut([ip], PathState.reset)
-                    await wait_until(
-                        lambda: is_served(fleet, '/safe/x', KEY), 'a relay'
-                    )
+            async with own_or_relayed_fleet(is_relayed=is_relayed) as fleet:
                 workspaces = [{'name': name, 'api-keys': [key]}]
                 await fleet.store.put(
                     'config', 'main', config(9) | {'tenants': workspaces}
@@ -91,11 +82,6 @@
         assert call.node == f'{name}/{name}'
 
 
-async def is_served(fleet, path, key):
-    """Return whether a request gets an answer of a server."""
-    return (await fleet.ask(path, key=key)).status == 200
-
-
 async def is_named(fleet, key):
     """Return whether a request is not taken for one with an unknown key."""
     answer = await fleet.ask('/safe/x', key=key)
