Keep the era of a store's page that is decoded in a thread

What instances would miss: a restore of the store from a copy, if a page of before it was decoded while another call found the later era.

Cause: decodes large answers in a thread, and the era was read after that.

Change: the era is read before the page is decoded.

No format changes.

--- a/src/siskinpass/process/fleet/store_client.py
+++ b/src/siskinpass/process/fleet/store_client.py
@@ -102,10 +102,12 @@
         while True:
             path = objects.list_path(kind, after, stale=stale)
             answer = await self._read('list', path, CALL_TIMEOUT_S)
+            # Other calls may find a later era while the page is decoded.
+            page_era = self._era
             page = await _decode(objects.decode_list, answer.body)
             if revision is None:
-                revision, era = page.revision, self._era
-            elif era != self._era:
+                revision, era = page.revision, page_era
+            elif era != page_era:
                 raise StoreError(
                     Code.store_down, 'restored between two pages of a listing'
                 )
@@ -130,8 +132,9 @@
         answer = await self._read('watch', path, wait_s + WATCH_MARGIN_S)
         if answer.status == objects.STATUS_GONE:
             return None
+        era = self._era
         page = await _decode(objects.decode_watch, answer.body)
-        return replace(page, era=self._era)
+        return replace(page, era=era)
 
     async def create(self, kind: str, name: str, body: Any) -> None:
         """Create an object.
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -195,6 +195,30 @@
             asyncio.run(scenario())
 
 
+class TestEras:
+    """Test pages that are decoded while another call finds a later era."""
+
+    @pytest.mark.parametrize('call', ['list', 'watch'])
+    def test_page_keeps_the_era_of_its_answer(self, call, monkeypatch):
+        """Guards against a page of before a restore that passes for new."""
+
+        async def scenario():
+            client = PagedStore([1])
+
+            async def decode(decoder, body):
+                client._era = 2
+                return decoder(body)
+
+            monkeypatch.setattr(
+                'siskinpass.process.fleet.store_client._decode', decode
+            )
+            if call == 'list':
+                return await client.list_kind(KIND)
+            return await client.watch_kind(KIND, 1, 1.0)
+
+        assert asyncio.run(scenario()).era == 1
+
+
 class TestForgottenHistory:
     """Test a store that forgets its history."""
 
