--- a/review/12/case.py
+++ b/review/12/case.py
@@ -42,6 +42,7 @@
 GAP_S = 0.3
 LEAD_S = 4.0  # from the start to the traffic, longer than ``contact-ms``
 KILL_AT_S = 2.0
+RESTART_S = 1.0
 NEW_EVERY_S = 0.1
 LENGTH_S = 18.0  # of the traffic
 PATIENCE_S = 15.0  # of a caller, from its first attempt
@@ -151,6 +152,17 @@
     return workers
 
 
+async def kill(fleet, record):
+    """Kill an instance, which starts again empty after a short delay."""
+    process = fleet.processes[KILLED]
+    process.kill()
+    record(f'{KILLED} killed')
+    await process.wait()
+    await asyncio.sleep(RESTART_S)
+    await fleet.start(KILLED)
+    record(f'{KILLED} starts again')
+
+
 async def play(record):
     """Play the case; return the streams of the killed one, and new ones."""
     async with running_fleet(instances=INSTANCES, servers=0) as fleet:
@@ -178,8 +190,7 @@
         ]
         await asyncio.sleep(KILL_AT_S)
         if TROUBLE:
-            fleet.processes[KILLED].kill()
-            record(f'{KILLED} killed')
+            tasks.append(asyncio.create_task(kill(fleet, record)))
         new = []
         while time.monotonic() - begun_s < LENGTH_S:
             new.append(Stream(f'new-{len(new)}'))
