--- a/review/12/case.py
+++ b/review/12/case.py
@@ -11,6 +11,7 @@
 import os
 import random
 import re
+import signal
 import sys
 import time
 import traceback
@@ -238,4 +239,6 @@
 
 
 if __name__ == '__main__':
+    # Ends the instances too, by the clean-up of the event loop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     sys.exit(main())
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -255,4 +255,6 @@
 
 
 if __name__ == '__main__':
+    # Ends the instances too, by the clean-up of the event loop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     sys.exit(main())
