Take up streams that a lost machine could not record

Cause: nothing is recorded while one version serves. A stream that nobody knows counted as one of any version of the last 60 s, also of one that appeared after it broke off. Ruled out: a record that is not found (the store has none of that instance) and a version taken for gone (that is code 2017).

Change: a stream without a record is one of the baseline version, the one that served alone before the others. It follows from what must be known: streams of the other versions are recorded, or announced to instances that record them, before callers have events. An instance that can do neither begins streams at the baseline. The conclusion needs a read of the records that began after the take-up, in the era of the store in which the baseline was recorded, and a take-up that names its stream; otherwise it is refused as before. Reads that had begun earlier were relied on before, too, which could miss a stream.

Formats: records of versions gain the field baseline-era, which the production build passes over; records without it yield no baseline. The new topic unrecorded is dropped by that build, which gets the same streams under the topic streams as before.

--- a/src/siskinpass/platform/stream_records.py
+++ b/src/siskinpass/platform/stream_records.py
@@ -8,7 +8,7 @@
 
 from siskinpass.codes import Code
 from siskinpass.exceptions import FormatError
-from siskinpass.platform.fields import NUMBER, as_table, read_field
+from siskinpass.platform.fields import NUMBER, as_table, read_field, read_whole
 from siskinpass.process.version_history import StreamBegun, VersionServed
 
 STREAMS_KIND = 'siskinpass-streams'
@@ -19,6 +19,8 @@
 # Of a stream's row: its name, its service and its software version.
 ROW_FIELDS = 3
 WRITTEN = 'written-s'  # Unix time
+# Era of the store in which a version served alone.
+BASELINE_ERA = 'baseline-era'
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +46,11 @@
 
 def encode_version(fact: VersionServed) -> dict[str, Any]:
     """Return the record of a version that serves."""
-    return {SERVICE: fact.service, VERSION: fact.version}
+    return {
+        SERVICE: fact.service,
+        VERSION: fact.version,
+        BASELINE_ERA: fact.baseline_era,
+    }
 
 
 def encode_streams(
@@ -69,6 +75,7 @@
             read_field(table, SERVICE, str),
             read_field(table, VERSION, str),
             time.time(),
+            read_whole(table, BASELINE_ERA, 0),
         )
     written_s = read_field(table, WRITTEN, NUMBER)
     rows = read_field(table, STREAMS, list)
--- a/src/siskinpass/process/facts.py
+++ b/src/siskinpass/process/facts.py
@@ -66,6 +66,11 @@
         self._max_facts = max_facts
         self._facts: OrderedDict[Hashable, FactT] = OrderedDict()
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether current facts may have been dropped."""
+        return len(self._facts) >= self._max_facts
+
     def merge(self, facts: Iterable[FactT], now_s: float) -> tuple[FactT, ...]:
         """Add facts and return those that were not known.
 
--- a/src/siskinpass/process/fleet/fact_topics.py
+++ b/src/siskinpass/process/fleet/fact_topics.py
@@ -159,6 +159,10 @@
 STREAMS: FactTopic[StreamBegun] = FactTopic(
     'streams', _encode_stream, _decode_stream
 )
+# The same streams, of an instance that cannot record them.
+UNRECORDED: FactTopic[StreamBegun] = FactTopic(
+    'unrecorded', _encode_stream, _decode_stream
+)
 # Services whose servers fail if they turn too many requests away.
 BRITTLE: FactTopic[BrittleService] = FactTopic(
     'brittle', _encode_brittle, _decode_brittle
@@ -177,6 +181,7 @@
     BLAMED,
     BLOCKED,
     STREAMS,
+    UNRECORDED,
     PATHS,
     BRITTLE,
     WORK,
--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -171,6 +171,7 @@
                 lambda: self._state.read_served(self._store),
                 lambda: self._store.era,
                 partial(fact_topics.STREAMS.announce, self._loads),
+                partial(fact_topics.UNRECORDED.announce, self._loads),
             ),
             self._metrics,
             is_first_start=settings.is_first_start,
@@ -245,6 +246,9 @@
         fact_topics.LIMITS.subscribe(self._loads, self._limits.receive)
         fact_topics.BRITTLE.subscribe(self._loads, self._limits.receive_brittle)
         fact_topics.STREAMS.subscribe(self._loads, self._versions.receive)
+        fact_topics.UNRECORDED.subscribe(
+            self._loads, self._versions.receive_unrecorded
+        )
         fact_topics.PATHS.subscribe(self._loads, self._access.reports.receive)
         self._guard.subscribe(self._apply_blocked)
 
--- a/src/siskinpass/process/fleet/stream_origin.py
+++ b/src/siskinpass/process/fleet/stream_origin.py
@@ -12,8 +12,8 @@
     """What began the stream of one request, which may be a take-up.
 
     :param versions: receives what this request shows of the stream.
-    :ivar version: software version that began the stream, ``None`` before its
-        first event.
+    :ivar version: software version that began the stream or has to begin it,
+        ``None`` if any may.
     """
 
     def __init__(self, versions: StreamVersions, call: InboundRequest) -> None:
@@ -30,9 +30,16 @@
             known what began it.
         """
         self._is_resumable = route.is_resumable
-        if not (route.is_resumable and self._call.last_event_id):
+        if not route.is_resumable:
             return service
-        origin = await self._versions.resolve(self._stream, route.services)
+        if not self._call.last_event_id:
+            self.version = self._versions.required_version(service)
+            return service
+        origin = await self._versions.resolve(
+            self._stream,
+            route.services,
+            is_named=bool(self._call.resumed_call),
+        )
         self.version = origin.version
         return origin.service if origin.service in route.services else service
 
--- a/src/siskinpass/process/fleet/stream_versions.py
+++ b/src/siskinpass/process/fleet/stream_versions.py
@@ -3,18 +3,21 @@
 Callers take streams up at any instance, also after all have lost power. While
 servers of several versions serve a service, or have just done so, instances
 therefore announce its streams to each other and record them in the store. As
-long as there is one version only, nothing is announced or recorded.
+long as there is one version only, nothing is announced or recorded: streams
+that are not known were begun by this version, also once others serve beside
+it. An instance that can neither record nor announce its streams therefore
+begins them at this version only.
 """
 
 import asyncio
 import time
 from collections.abc import Awaitable, Callable, Iterable, Sequence
-from dataclasses import astuple, dataclass
+from dataclasses import dataclass, replace
 
 from siskinpass.codes import Code
 from siskinpass.exceptions import FormatError, RefusedError, StoreError
 from siskinpass.process.background import BackgroundTasks
-from siskinpass.process.facts import FactTable
+from siskinpass.process.facts import FactTable, subject_of
 from siskinpass.process.fleet.stream_records import StreamRecords
 from siskinpass.process.logs import ComponentLog
 from siskinpass.process.metrics import Metrics
@@ -35,7 +38,9 @@
 # Least time between two writes of the record.
 RECORD_S = 0.05
 WRITE_RETRY_S = 1.0
-# Instances that record a version, and remove its record when it has ended.
+READ_RETRY_S = 1.0
+# Instances that record a version, and remove its record when it has ended, or
+# that record a stream for another instance.
 RECORDERS = 2
 # A new version is recorded a little later, when the others are known too.
 VERSION_DELAY_S = 1.0
@@ -62,6 +67,8 @@
         raises the store's errors.
     :param era: returns the number of times that the store was restored.
     :param announce: sends streams to the other instances.
+    :param announce_unrecorded: sends them streams that this instance cannot
+        record; some of them have to.
     """
 
     services: Callable[[], frozenset[str]]
@@ -71,6 +78,7 @@
     read_served: Callable[[], Awaitable[frozenset[ServiceVersion]]]
     era: Callable[[], int]
     announce: Callable[[Iterable[StreamBegun]], None]
+    announce_unrecorded: Callable[[Iterable[StreamBegun]], None]
 
 
 class StreamVersions:
@@ -98,6 +106,8 @@
         self._history = VersionHistory()
         # Streams of this instance that are open or have broken off.
         self._streams: FactTable[StreamBegun] = FactTable(MAX_STREAMS)
+        # Streams of others that this instance records for them.
+        self._entrusted: FactTable[StreamBegun] = FactTable(MAX_STREAMS)
         self._listed: frozenset[ServiceVersion] = frozenset()
         self._unannounced: list[StreamBegun] = []
         self._mixed: frozenset[str] = frozenset()
@@ -105,6 +115,8 @@
         self._has_unrecorded = asyncio.Event()
         self._is_failing = False
         self._lookup: asyncio.Task[bool] | None = None
+        self._is_loading = False
+        self._read_s = time.time()
         self._background = BackgroundTasks()
         self._loop = asyncio.get_running_loop()
         self._next_write: asyncio.Future[None] = self._loop.create_future()
@@ -135,11 +147,19 @@
         """
         self._check_gap()
         self._refreshed_s = time.time()
-        for fact in self._history.note_served(self._listed, time.time()):
+        self._check_era()
+        unrecorded = {
+            subject_of(fact): fact
+            for fact in (
+                *self._history.note_served(self._listed, time.time()),
+                *self._update_baselines(),
+            )
+        }
+        for fact in unrecorded.values():
             self._background.start(self._record_version(fact))
         self._expire()
         self._update_mixed()
-        self._check_era()
+        self._complete()
 
     def begin(
         self, call_id: str, server: ServerView
@@ -158,19 +178,36 @@
         if server.pool not in self._mixed:
             return None
         self._publish((fact,))
-        return None if self._is_failing else self._next_write
+        if not self._is_failing:
+            return self._next_write
+        self._announce()
+        return None
+
+    def required_version(self, service: str) -> str | None:
+        """Return the version that has to begin a new stream of a service.
+
+        :returns: ``None`` if any may, as others learn what began the stream.
+        """
+        can_record = self._sources.is_connected() and not self._is_failing
+        if can_record or self._sources.hears_others():
+            return None
+        baseline = self._history.baseline(service)
+        is_listed = (service, baseline) in self._listed
+        return baseline if service in self._mixed and is_listed else None
 
     def end(self, call_id: str) -> None:
         """Record that a stream was sent to its end."""
         self._streams.drop(stream_name(call_id))
 
     async def resolve(
-        self, call_id: str, services: Iterable[str]
+        self, call_id: str, services: Iterable[str], *, is_named: bool = True
     ) -> StreamBegun:
         """Return what began a stream that a caller takes up.
 
         :param call_id: the caller's attempt that brought the first event.
         :param services: those that can have begun it.
+        :param is_named: whether the caller named that attempt; if not, the
+            stream may have a record under another name.
         :raises RefusedError: if it is not known.
         """
         stream, given = stream_name(call_id), tuple(services)
@@ -181,7 +218,7 @@
                 break
             if number:
                 await asyncio.sleep(LOOKUP_AGAIN_S)
-            found = await self._look_up_stream(stream, given)
+            found = await self._look_up_stream(stream, given, is_named=is_named)
         self._metrics.noticed('unknown stream' if found is None else 'take-up')
         if found is None:
             raise RefusedError(
@@ -201,11 +238,27 @@
             now_s,
         )
 
+    def receive_unrecorded(self, facts: Iterable[StreamBegun]) -> None:
+        """Merge streams of an instance that cannot record them.
+
+        The others may start again before the store answers it, so that some of
+        them record its streams.
+        """
+        given = tuple(facts)
+        self.receive(given)
+        entrusted = self._entrusted.merge(
+            (one for one in given if self._is_recorder(one.stream)),
+            time.time(),
+        )
+        if entrusted:
+            self._has_unrecorded.set()
+
     def _check_era(self) -> None:
         """Record everything again after the store was restored from a copy."""
         previous, self._era = self._era, self._sources.era()
         if previous in {0, self._era}:
             return
+        self._history.forget_baselines()
         for fact in self._history.served.current(time.time()):
             self._background.start(self._record_version(fact))
         if self._mixed:
@@ -216,10 +269,18 @@
         gap_s = time.time() - self._refreshed_s
         if gap_s > MAX_GAP_S and self._is_complete:
             self._is_complete = False
+            self._history.note_gap(gap_s)
             self._log.note('Missed some time.', gap_s=round(gap_s, 3))
 
+    def _complete(self) -> None:
+        """Read the records again if something may have been missed."""
+        is_due = time.time() - self._read_s >= READ_RETRY_S
+        if is_due and not self._is_complete and self._lookup is None:
+            self._read_s = time.time()
+            self._background.start(self._look_up())
+
     async def _look_up_stream(
-        self, stream: str, services: tuple[str, ...]
+        self, stream: str, services: tuple[str, ...], *, is_named: bool
     ) -> StreamBegun | None:
         """Read from the store what began a stream.
 
@@ -236,6 +297,15 @@
             services,
             time.time(),
             is_complete=self._is_complete and is_connected,
+            has_records=is_fresh and is_named,
+        )
+
+    def _update_baselines(self) -> tuple[VersionServed, ...]:
+        """Note which versions serve alone; return those that did not before."""
+        if not (self._is_complete and self._sources.is_connected()):
+            return ()
+        return self._history.update_baselines(
+            self._sources.services(), time.time()
         )
 
     def _update_mixed(self) -> None:
@@ -273,18 +343,25 @@
     def _announce(self) -> None:
         streams, self._unannounced = self._unannounced, []
         self._sources.announce(streams)
+        if self._is_failing:
+            self._sources.announce_unrecorded(streams)
 
     async def _record_streams(self) -> None:
+        now_s = time.time()
+        own, entrusted = (
+            table.current(now_s) for table in (self._streams, self._entrusted)
+        )
         streams = [
-            one
-            for one in self._streams.current(time.time())
-            if one.service in self._mixed
+            *(one for one in own if one.service in self._mixed),
+            *entrusted,
         ]
         written, self._next_write = self._next_write, self._loop.create_future()
         try:
             await self._records.write_streams(streams)
         except StoreError as error:
-            self._is_failing = True
+            is_first, self._is_failing = not self._is_failing, True
+            if is_first:
+                self._sources.announce_unrecorded(streams)
             self._log.warn(
                 'Streams are not recorded yet.',
                 streams=len(streams),
@@ -299,27 +376,36 @@
 
     async def _record_version(self, fact: VersionServed) -> None:
         await asyncio.sleep(VERSION_DELAY_S)
-        if self._is_recorder(fact):
-            await self._records.write_version(fact)
+        if not self._is_recorder(_version_key(fact)):
+            return
+        is_baseline = self._history.baseline(fact.service) == fact.version
+        await self._records.write_version(
+            replace(fact, baseline_era=self._era if is_baseline else 0)
+        )
 
     def _expire(self) -> None:
         now_s = time.time()
         self._streams.expire(now_s)
+        self._entrusted.expire(now_s)
         self._history.streams.expire(now_s)
         for fact in self._history.served.expire(now_s):
-            if self._is_recorder(fact):
+            if self._is_recorder(_version_key(fact)):
                 self._background.start(self._records.remove_version(fact))
 
-    def _is_recorder(self, fact: VersionServed) -> bool:
+    def _is_recorder(self, key: str) -> bool:
         names = {*self._sources.names(), self._own}
-        key = f'{fact.service}/{fact.version}'
         return self._own in rank(key, names)[:RECORDERS]
 
     async def _look_up(self) -> bool:
         """Read all records, together with other requests that wait for them.
 
+        A read that has already begun may miss what was recorded since, and is
+        waited for, but not relied on.
+
         :returns: whether the store answered.
         """
+        while self._lookup is not None and self._is_loading:
+            await asyncio.wait((self._lookup,))
         if self._lookup is None:
             self._lookup = asyncio.ensure_future(self._load())
             self._lookup.add_done_callback(self._end_lookup)
@@ -329,8 +415,10 @@
 
     def _end_lookup(self, lookup: asyncio.Task[bool]) -> None:
         self._lookup = None
+        self._is_loading = False
 
     async def _load(self) -> bool:
+        self._is_loading = True
         try:
             served, (streams, versions) = await asyncio.gather(
                 self._sources.read_served(), self._records.load()
@@ -341,6 +429,8 @@
             )
             return False
         now_s = time.time()
+        self._check_era()
+        self._history.adopt_baselines(versions, self._era)
         versions.extend(VersionServed(*one, now_s) for one in served)
         self._history.streams.merge(streams, now_s)
         self._history.served.merge(versions, now_s)
@@ -349,6 +439,10 @@
         self._log.note(
             'Read the records of streams.',
             streams=len(streams),
-            versions=[astuple(one)[:-1] for one in versions],
+            versions=[(one.service, one.version) for one in versions],
         )
         return True
+
+
+def _version_key(fact: VersionServed) -> str:
+    return f'{fact.service}/{fact.version}'
--- a/src/siskinpass/process/version_history.py
+++ b/src/siskinpass/process/version_history.py
@@ -3,7 +3,12 @@
 Pure logic. Events of two software versions do not fit together, so that a
 stream that broke off may go on only at a server of the version that began it.
 Where one version served during the whole time in which a stream can have
-begun, that version began it; otherwise the stream has to be known.
+begun, that version began it.
+
+Where several did, a service may have a baseline version: the one that served
+alone before the others appeared. The streams of the others are recorded before
+callers have events of them, so that a stream without a record was begun by the
+baseline version, by an instance that ended before it could record it.
 """
 
 import hashlib
@@ -17,6 +22,8 @@
 MAX_STREAMS = 20_000
 MAX_VERSIONS = 1000
 NAME_BYTES = 8
+# Lists of servers that differ among instances agree again within this time.
+BASELINE_AFTER_S = 3.0
 
 
 # A service and a software version of its servers.
@@ -53,11 +60,14 @@
     """A software version of which a service has, or had, servers.
 
     :param at_s: Unix time at which one was last listed.
+    :param baseline_era: era of the store in which the version was known to
+        serve alone, 0 if it was not.
     """
 
     service: str
     version: str
     at_s: float
+    baseline_era: int = 0
 
 
 @subject_of.register
@@ -86,6 +96,9 @@
     def __init__(self) -> None:
         self.streams: FactTable[StreamBegun] = FactTable(MAX_STREAMS)
         self.served: FactTable[VersionServed] = FactTable(MAX_VERSIONS)
+        self._baselines: dict[str, str] = {}
+        # Versions that serve alone now, and since when.
+        self._alone: dict[str, VersionServed] = {}
 
     def note_served(
         self, versions: Iterable[ServiceVersion], now_s: float
@@ -116,6 +129,67 @@
         """Return whether several versions may have begun its streams."""
         return len(self.versions((service,), now_s)) > 1
 
+    def baseline(self, service: str) -> str | None:
+        """Return the baseline version of a service, ``None`` if unknown."""
+        return self._baselines.get(service)
+
+    def update_baselines(
+        self, services: Iterable[str], now_s: float
+    ) -> tuple[VersionServed, ...]:
+        """Note which versions serve alone now, and have done so for a while.
+
+        :returns: those that were not the baseline of their service.
+        """
+        added = []
+        for service in services:
+            alone = self._update_alone(service, now_s)
+            if alone is None or alone.version == self.baseline(service):
+                continue
+            self._baselines.pop(service, None)
+            if now_s - alone.at_s >= BASELINE_AFTER_S:
+                self._baselines[service] = alone.version
+                added.append(alone)
+        return tuple(added)
+
+    def _update_alone(self, service: str, now_s: float) -> VersionServed | None:
+        """Return the version that serves alone, as of when it began to."""
+        versions = self.versions((service,), now_s)
+        known = self._alone.pop(service, None)
+        if len(versions) != 1:
+            return None
+        version = next(iter(versions))
+        if known is None or known.version != version:
+            known = VersionServed(service, version, now_s)
+        self._alone[service] = known
+        return known
+
+    def adopt_baselines(
+        self, recorded: Iterable[VersionServed], era: int
+    ) -> None:
+        """Adopt the baselines that others recorded in an era of the store.
+
+        Records of earlier eras do not count: the store has since lost records
+        of streams.
+        """
+        by_service: dict[str, set[str]] = {}
+        for fact in recorded:
+            if fact.baseline_era == era and era:
+                by_service.setdefault(fact.service, set()).add(fact.version)
+        for service, versions in by_service.items():
+            if len(versions) == 1:
+                self._baselines.setdefault(service, *versions)
+
+    def note_gap(self, gap_s: float) -> None:
+        """Note that changes of the servers may have been missed for a time."""
+        self._alone.clear()
+        if gap_s >= STREAM_LIFE_S:
+            self._baselines.clear()
+
+    def forget_baselines(self) -> None:
+        """Forget all baselines, as records of streams may be missing."""
+        self._baselines.clear()
+        self._alone.clear()
+
     def origin(
         self,
         stream: str,
@@ -123,17 +197,28 @@
         now_s: float,
         *,
         is_complete: bool,
+        has_records: bool = False,
     ) -> StreamBegun | None:
         """Return what began a stream, ``None`` if that is not known.
 
         :param services: those that can have begun it.
         :param is_complete: whether all versions are known that served during
             the life of a stream.
+        :param has_records: whether all records of streams have just been read.
         """
         known = self.streams.find(stream, now_s)
         if known is not None:
             return known
-        versions = self.versions(services, now_s)
-        if is_complete and len(versions) == 1:
-            return StreamBegun(stream, '', next(iter(versions)), now_s)
-        return None
+        can_derive = has_records and not self.streams.is_full
+        versions: set[str | None] = set()
+        for service in services:
+            served = self.versions((service,), now_s)
+            if len(served) > 1:
+                served = {self.baseline(service) if can_derive else None}
+            versions |= served
+        if not is_complete or len(versions) != 1:
+            return None
+        version = next(iter(versions))
+        return (
+            None if version is None else StreamBegun(stream, '', version, now_s)
+        )
--- a/tests/test_facts.py
+++ b/tests/test_facts.py
@@ -24,6 +24,8 @@
     ServerLimit,
 )
 from siskinpass.process.version_history import (
+    BASELINE_AFTER_S,
+    MAX_STREAMS,
     STREAM_LIFE_S,
     StreamBegun,
     VersionHistory,
@@ -121,6 +123,7 @@
     'blamed': ('bad', 'i-1/1'),
     'blocked': BlockedParts(frozenset(('a', 'b')), NOW_S),
     'streams': StreamBegun('s', 'app', 'v1', NOW_S),
+    'unrecorded': StreamBegun('s', 'app', 'v1', NOW_S),
     'paths': PathReport('front-1', True, ('i-1', 'i-2'), NOW_S),
     'brittle': BrittleService('app', 3.0, NOW_S),
     'work': WorkReport('front-1', 7, 'app', 1, 'w', 20.5, 31.0),
@@ -228,6 +231,65 @@
         assert both is None
         assert not history.is_mixed('app', NOW_S)
 
+    @pytest.mark.parametrize(
+        ('alone_s', 'has_records', 'expected'),
+        [
+            (BASELINE_AFTER_S, True, 'v1'),
+            (BASELINE_AFTER_S - 1, True, None),
+            (BASELINE_AFTER_S, False, None),
+        ],
+    )
+    def test_baseline(self, alone_s, has_records, expected):
+        """It began what has no record, if it served alone for long enough."""
+        history = VersionHistory()
+        history.note_served(serving('v1'), NOW_S)
+        history.update_baselines(['app'], NOW_S)
+        later_s = NOW_S + alone_s
+        history.update_baselines(['app'], later_s)
+        history.note_served(serving('v1', 'v2'), later_s)
+        history.update_baselines(['app'], later_s)
+        found = history.origin(
+            's', ['app'], later_s, is_complete=True, has_records=has_records
+        )
+        assert (found and found.version) == expected
+
+    @pytest.mark.parametrize(
+        ('recorded', 'expected'),
+        [
+            ({'v1': 2}, 'v1'),
+            ({'v1': 1}, None),
+            ({'v1': 0, 'v2': 2}, 'v2'),
+            ({'v1': 2, 'v2': 2}, None),
+            ({}, None),
+        ],
+    )
+    def test_recorded_baseline(self, recorded, expected):
+        """It counts in its era of the store, and if no other does."""
+        history = VersionHistory()
+        facts = [
+            VersionServed('app', version, NOW_S, era)
+            for version, era in recorded.items()
+        ]
+        history.adopt_baselines(facts, 2)
+        assert history.baseline('app') == expected
+
+    def test_table_that_may_have_dropped_streams(self):
+        """What it does not hold may have been known once."""
+        history = VersionHistory()
+        history.adopt_baselines([VersionServed('app', 'v1', NOW_S, 1)], 1)
+        history.note_served(serving('v1', 'v2'), NOW_S)
+        history.streams.merge(
+            (
+                StreamBegun(f's{number}', 'app', 'v2', NOW_S)
+                for number in range(MAX_STREAMS)
+            ),
+            NOW_S,
+        )
+        found = history.origin(
+            's', ['app'], NOW_S, is_complete=True, has_records=True
+        )
+        assert found is None
+
     @given(st.permutations(range(6)), st.sets(st.integers(0, 5)))
     def test_lost_and_reordered_reports(self, order, lost):
         """A stream is never taken for one of another version."""
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -78,6 +78,8 @@
             {},
             {'service': 'app'},
             {'service': 'app', 'version': 1},
+            {'service': 'app', 'version': 'v1', 'baseline-era': -1},
+            {'service': 'app', 'version': 'v1', 'baseline-era': '1'},
             {'streams': []},
             {'streams': {}, 'written-s': 1.0},
             {'streams': [['s', 'app']], 'written-s': 1.0},
@@ -90,6 +92,14 @@
         with pytest.raises(FormatError):
             decode_stream_record('name', body)
 
+    @pytest.mark.parametrize(
+        ('more', 'era'), [({}, 0), ({'baseline-era': 3}, 3)]
+    )
+    def test_record_of_a_baseline(self, more, era):
+        """Builds that know no baselines do not write its era."""
+        body = {'service': 'app', 'version': 'v1'} | more
+        assert decode_stream_record('version-a', body).baseline_era == era
+
     def test_name_of_a_version(self):
         """It is the same on all instances, and no two versions share one."""
         others = [
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -67,9 +67,12 @@
     )
 
 
-async def begin_streams(fleet, events=BEGUN):
-    """Begin streams at all instances, which break off; return their events."""
-    names = sorted(fleet.processes)
+async def begin_streams(fleet, events=BEGUN, names=None):
+    """Begin streams, which break off, and return their events.
+
+    :param names: instances to begin them at, all by default.
+    """
+    names = names or sorted(fleet.processes)
     calls = [f'call-{number}' for number in range(STREAMS)]
     begun = await asyncio.gather(
         *(
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -14,7 +14,16 @@
 from bench.fleet import Variant, running_fleet, wait_until
 from siskinpass.request.inbound import NOT_RUN_STATUSES
 from standins.paths import PathState
+from tests.test_baseline_versions import (
+    LOST,
+    SETTLED_S,
+    TAKEN,
+    lose_instance,
+    release,
+    take_up_lost,
+)
 from tests.test_planned_stops import Upload, ran, upload
+from tests.test_stream_versions import STREAMS, add_versions
 
 ROOT = Path(__file__).parent.parent
 OLD, NEW = 'front-1', 'front-2'
@@ -132,6 +141,23 @@
 
         run_mixed(scenario, production)
 
+    @pytest.mark.parametrize(
+        ('older', 'expected'), [(LOST, {STREAMS}), (TAKEN, {0, STREAMS})]
+    )
+    def test_streams_of_a_lost_instance(self, production, older, expected):
+        """Whichever build takes them up, no two versions are joined."""
+
+        async def scenario(fleet):
+            await add_versions(fleet, {'a': 2})
+            await asyncio.sleep(SETTLED_S)
+            begun = await lose_instance(fleet)
+            await release(fleet, {LOST})
+            went_on, joined = await take_up_lost(fleet, begun)
+            assert joined == 0
+            assert went_on in expected
+
+        run_mixed(scenario, production, names=(older,), servers=0)
+
 
 class TestReplacement:
     """Test instances that are replaced one after the other."""
--- a/tests/test_version_lookup.py
+++ b/tests/test_version_lookup.py
@@ -79,6 +79,7 @@
         read_served=records.read_served,
         era=lambda: 1,
         announce=lambda streams: None,
+        announce_unrecorded=lambda streams: None,
     )
     made = stream_versions.StreamVersions(
         'a', records, sources, Metrics(), is_first_start=is_first_start
