Restart instances in tests that have already ended

If the event loop has already seen the end of one, kill() raises ProcessLookupError. What the test checks is unchanged.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -297,7 +297,8 @@
     async def restart_all(self):
         """Kill all instances at once, start them and wait until they serve."""
         for process in self.processes.values():
-            process.kill()
+            with suppress(ProcessLookupError):  # It may have ended before.
+                process.kill()
         for name, process in tuple(self.processes.items()):
             await process.wait()
             await self.start(name)
