Take up streams of routes that are split between versions

Cause: whether a stream has to be known was decided by its own service, which has one version, while a take-up is resolved over all services of the route, which have several. Ruled out: records under another service (the store has none, and no line tells of several versions).

Change: the services of a route are asked together in both places, so that streams of such a route are recorded and announced as during a release. No format changes; the production build reads the records and announcements as those of a release.

--- a/src/siskinpass/process/fleet/node.py
+++ b/src/siskinpass/process/fleet/node.py
@@ -163,6 +163,7 @@
             StreamRecords(self._store, settings.name),
             VersionSources(
                 self._state.resumable_services,
+                self._state.resumable_groups,
                 self._members.caller_names,
                 lambda: (
                     self._state.is_reachable or not self._members.is_isolated
--- a/src/siskinpass/process/fleet/state.py
+++ b/src/siskinpass/process/fleet/state.py
@@ -88,6 +88,10 @@
         """Return the services that have streams which may be resumed."""
         return self._table.resumable_services if self._table else frozenset()
 
+    def resumable_groups(self) -> frozenset[frozenset[str]]:
+        """Return the services of each route whose streams may be resumed."""
+        return self._table.resumable_groups if self._table else frozenset()
+
     async def read_served(
         self, store: StoreClient
     ) -> frozenset[tuple[str, str]]:
--- a/src/siskinpass/process/fleet/stream_versions.py
+++ b/src/siskinpass/process/fleet/stream_versions.py
@@ -1,12 +1,14 @@
 """Let streams go on only at the software version that began them.
 
 Callers take streams up at any instance, also after all have lost power. While
-servers of several versions serve a service, or have just done so, instances
-therefore announce its streams to each other and record them in the store. As
-long as there is one version only, nothing is announced or recorded: streams
-that are not known were begun by this version, also once others serve beside
-it. An instance that can neither record nor announce its streams therefore
-begins them at this version only.
+servers of several versions serve the services of a route, or have just done so,
+instances therefore announce its streams to each other and record them in the
+store.
+
+As long as there is one version only, nothing is announced or recorded: streams
+that are not known were begun by this version, also once the service has others
+beside it. An instance that can neither record nor announce its streams
+therefore begins them at this version only.
 """
 
 import asyncio
@@ -59,6 +61,7 @@
     """What the instance knows otherwise.
 
     :param services: returns the services whose streams can be taken up.
+    :param groups: returns the same services, those of a route together.
     :param names: returns the instances that serve callers.
     :param is_connected: returns whether the instance hears of new servers, from
         the store or from other instances.
@@ -72,6 +75,7 @@
     """
 
     services: Callable[[], frozenset[str]]
+    groups: Callable[[], frozenset[frozenset[str]]]
     names: Callable[[], Iterable[str]]
     is_connected: Callable[[], bool]
     hears_others: Callable[[], bool]
@@ -310,11 +314,7 @@
 
     def _update_mixed(self) -> None:
         now_s = time.time()
-        mixed = frozenset(
-            service
-            for service in self._sources.services()
-            if self._history.is_mixed(service, now_s)
-        )
+        mixed = self._history.mixed(self._sources.groups(), now_s)
         added, ended = mixed - self._mixed, self._mixed - mixed
         self._mixed = mixed
         if added or ended:
--- a/src/siskinpass/process/version_history.py
+++ b/src/siskinpass/process/version_history.py
@@ -125,9 +125,17 @@
             if fact.service in given
         )
 
-    def is_mixed(self, service: str, now_s: float) -> bool:
-        """Return whether several versions may have begun its streams."""
-        return len(self.versions((service,), now_s)) > 1
+    def mixed(
+        self, groups: Iterable[frozenset[str]], now_s: float
+    ) -> frozenset[str]:
+        """Return the services of the groups that have several versions.
+
+        :param groups: services that share a route. Which of them began a
+            stream is not known from the route.
+        """
+        return frozenset().union(
+            *(one for one in groups if len(self.versions(one, now_s)) > 1)
+        )
 
     def baseline(self, service: str) -> str | None:
         """Return the baseline version of a service, ``None`` if unknown."""
--- a/src/siskinpass/version/routes.py
+++ b/src/siskinpass/version/routes.py
@@ -246,11 +246,15 @@
     @cached_property
     def resumable_services(self) -> frozenset[str]:
         """Return the services that have streams which may be resumed."""
+        return frozenset().union(*self.resumable_groups)
+
+    @cached_property
+    def resumable_groups(self) -> frozenset[frozenset[str]]:
+        """Return the services of each route whose streams may be resumed."""
         return frozenset(
-            service
+            frozenset(route.services)
             for route in self.routes
             if route.is_resumable
-            for service in route.services
         )
 
     @cached_property
--- a/tests/test_baseline_versions.py
+++ b/tests/test_baseline_versions.py
@@ -95,6 +95,11 @@
     await fleet.store.restore(fleet.store.copy())
 
 
+def count_versions(begun, version):
+    """Return how many streams a version began."""
+    return sum(versions_in(seen) == {version} for seen in begun.values())
+
+
 class TestUnrecorded:
     """Guard against the loss of streams whose instance ends before a release.
 
@@ -140,7 +145,7 @@
             await asyncio.sleep(1)
             fleet.store.refused_machines.discard(ip)
             await restart(fleet, taken_over_by)
-            assert _count(begun, b'b')
+            assert count_versions(begun, b'b')
             taken_up = await take_up_lost(fleet, begun, taken_over_by)
             assert taken_up == (STREAMS, 0)
 
@@ -170,17 +175,13 @@
             await asyncio.sleep(SETTLED_S)
             await release(fleet)
             begun = await begin_streams(fleet)
-            assert _count(begun, b'b')
+            assert count_versions(begun, b'b')
             await fleet.store.take_down()
 
             async def is_noticed():
-                return not _count(await begin_streams(fleet), b'b')
+                return not count_versions(await begin_streams(fleet), b'b')
 
             await wait_until(is_noticed, 'streams at one version')
             assert await is_noticed()
 
         run_scenario(scenario, servers=0)
-
-
-def _count(begun, version):
-    return sum(versions_in(seen) == {version} for seen in begun.values())
--- a/tests/test_facts.py
+++ b/tests/test_facts.py
@@ -229,7 +229,9 @@
         both = history.origin('s', ['app', 'other'], NOW_S, is_complete=True)
         assert one.version == 'v1'
         assert both is None
-        assert not history.is_mixed('app', NOW_S)
+        alone, shared = frozenset(('app',)), frozenset(('app', 'other'))
+        assert not history.mixed([alone], NOW_S)
+        assert history.mixed([alone, shared], NOW_S) == shared
 
     @pytest.mark.parametrize(
         ('alone_s', 'has_records', 'expected'),
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -22,14 +22,17 @@
 BEGUN = 3  # events after which a caller loses its connection
 
 
-async def add_server(fleet, name, version):
-    """Start a backend server of some software version and register it."""
+async def add_server(fleet, name, version, **more):
+    """Start a backend server of some software version and register it.
+
+    :param more: fields of its registration that override the defaults.
+    """
     server = BackendServer(name, GAP_S, EVENTS, version=version)
     port = free_ports(1)[0]
     fleet.server_ports[name] = port
     await serve(server, '127.0.0.1', port)
     fleet.servers.append(server)
-    entry = server_entry(port, version=version)
+    entry = server_entry(port, version=version, **more)
     await fleet.store.put('servers', name, entry)
     return server
 
--- a/tests/test_version_lookup.py
+++ b/tests/test_version_lookup.py
@@ -73,6 +73,7 @@
     """Return the owner of an instance before servers of version v1."""
     sources = stream_versions.VersionSources(
         services=lambda: frozenset(('app',)),
+        groups=lambda: frozenset((frozenset(('app',)),)),
         names=lambda: ['a'],
         is_connected=lambda: is_connected,
         hears_others=lambda: hears_others,
