Conclude nothing for streams that may outlast their records

On a route that allows longer streams, one of a newer version could lose its record while it is open, and a take-up would then have joined it with the baseline. Such take-ups are refused, as they were.

--- a/src/siskinpass/process/fleet/stream_origin.py
+++ b/src/siskinpass/process/fleet/stream_origin.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from siskinpass.process.fleet.stream_versions import StreamVersions
+from siskinpass.process.version_history import STREAM_LIFE_S
 from siskinpass.request.inbound import InboundRequest
 from siskinpass.request.ticket import ServerView
 from siskinpass.version.routes import Route
@@ -38,7 +39,9 @@
         origin = await self._versions.resolve(
             self._stream,
             route.services,
-            is_named=bool(self._call.resumed_call),
+            # The record may have another name, or have expired.
+            may_derive=bool(self._call.resumed_call)
+            and route.timeout_s <= STREAM_LIFE_S,
         )
         self.version = origin.version
         return origin.service if origin.service in route.services else service
--- a/src/siskinpass/process/fleet/stream_versions.py
+++ b/src/siskinpass/process/fleet/stream_versions.py
@@ -204,14 +204,14 @@
         self._streams.drop(stream_name(call_id))
 
     async def resolve(
-        self, call_id: str, services: Iterable[str], *, is_named: bool = True
+        self, call_id: str, services: Iterable[str], *, may_derive: bool = True
     ) -> StreamBegun:
         """Return what began a stream that a caller takes up.
 
         :param call_id: the caller's attempt that brought the first event.
         :param services: those that can have begun it.
-        :param is_named: whether the caller named that attempt; if not, the
-            stream may have a record under another name.
+        :param may_derive: whether the absence of a record says what began the
+            stream.
         :raises RefusedError: if it is not known.
         """
         stream, given = stream_name(call_id), tuple(services)
@@ -222,7 +222,9 @@
                 break
             if number:
                 await asyncio.sleep(LOOKUP_AGAIN_S)
-            found = await self._look_up_stream(stream, given, is_named=is_named)
+            found = await self._look_up_stream(
+                stream, given, may_derive=may_derive
+            )
         self._metrics.noticed('unknown stream' if found is None else 'take-up')
         if found is None:
             raise RefusedError(
@@ -284,7 +286,7 @@
             self._background.start(self._look_up())
 
     async def _look_up_stream(
-        self, stream: str, services: tuple[str, ...], *, is_named: bool
+        self, stream: str, services: tuple[str, ...], *, may_derive: bool
     ) -> StreamBegun | None:
         """Read from the store what began a stream.
 
@@ -301,7 +303,7 @@
             services,
             time.time(),
             is_complete=self._is_complete and is_connected,
-            has_records=is_fresh and is_named,
+            has_records=is_fresh and may_derive,
         )
 
     def _update_baselines(self) -> tuple[VersionServed, ...]:
--- a/tests/test_baseline_versions.py
+++ b/tests/test_baseline_versions.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from bench.fleet import wait_until
+from bench.fleet import config, route, wait_until
 from siskinpass.codes import MEANINGS, Code
 from siskinpass.process.fleet.stream_versions import VERSION_DELAY_S
-from siskinpass.process.version_history import BASELINE_AFTER_S
+from siskinpass.process.version_history import BASELINE_AFTER_S, STREAM_LIFE_S
 from tests.test_fleet import run_scenario
 from tests.test_stream_versions import (
     STREAMS,
@@ -19,6 +19,7 @@
     versions_in,
 )
 
+MS_PER_S = 1000
 OK = 200
 LOST, TAKEN = 'front-1', 'front-2'
 # From the first server to the record of its version as the baseline.
@@ -131,6 +132,26 @@
 
         run_scenario(scenario, servers=0, instances=3, small_fleet=small_fleet)
 
+    def test_stream_that_may_outlast_its_record(self):
+        """Where routes allow such streams, those without one are refused."""
+
+        async def scenario(fleet):
+            await add_versions(fleet, {'a': 2})
+            await asyncio.sleep(SETTLED_S)
+            begun = await lose_instance(fleet)
+            await release(fleet, {LOST})
+            timeout_ms = (STREAM_LIFE_S + 1) * MS_PER_S
+            more = {'stream-resume': True, 'timeout-ms': timeout_ms}
+            long_config = config(9, [route('/stream/', 'stream', more)])
+            await fleet.store.put('config', 'main', long_config)
+            await wait_until(
+                lambda: b'"version":9' in fleet.logs[TAKEN].read_bytes(),
+                'the configuration',
+            )
+            assert await take_up_lost(fleet, begun) == (0, 0)
+
+        run_scenario(scenario, servers=0, instances=2)
+
     @pytest.mark.parametrize('taken_over_by', [TAKEN, LOST])
     def test_streams_that_the_store_could_not_record(self, taken_over_by):
         """Other instances record them, for those that start afterwards."""
