--- a/src/siskinpass/process/fleet/stream_versions.py
+++ b/src/siskinpass/process/fleet/stream_versions.py
@@ -190,7 +190,10 @@
     def required_version(self, service: str) -> str | None:
         """Return the version that has to begin a new stream of a service.
 
-        :returns: ``None`` if any may, as others learn what began the stream.
+        Others conclude that a stream without a record was begun by the baseline
+        version; it has to be, if nobody can learn of it.
+
+        :returns: ``None`` if any version may.
         """
         can_record = self._sources.is_connected() and not self._is_failing
         if can_record or self._sources.hears_others():
