--- a/tests/test_version_lookup.py
+++ b/tests/test_version_lookup.py
@@ -60,6 +60,31 @@
         """Accept the record of a version."""
 
 
+class SlowRecords(Records):
+    """Records that are returned as they were when a read began.
+
+    :ivar has_begun: set once a read has begun.
+    :ivar may_end: set to let reads end.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.has_begun = asyncio.Event()
+        self.may_end = asyncio.Event()
+
+    def add(self, stream):
+        """Record a stream."""
+        self._streams.append(stream)
+
+    async def load(self):
+        """Return the records once the read may end."""
+        streams, versions = await super().load()
+        found = list(streams)
+        self.has_begun.set()
+        await self.may_end.wait()
+        return found, versions
+
+
 @pytest.fixture
 def clock(monkeypatch):
     """Replace the time of day, and shorten the wait between two reads."""
@@ -161,6 +186,22 @@
 
         assert asyncio.run(scenario()) == ({'v2'}, 1)
 
+    def test_read_that_began_before_the_take_up(self, clock):
+        """It misses what was recorded since, so that another one follows."""
+
+        async def scenario():
+            records = SlowRecords()
+            versions = make(records)
+            early = asyncio.create_task(resolved(versions))
+            await records.has_begun.wait()
+            records.add(BEGUN)
+            late = asyncio.create_task(resolved(versions))
+            await asyncio.sleep(0)
+            records.may_end.set()
+            return await asyncio.gather(early, late)
+
+        assert asyncio.run(scenario()) == ['v1', 'v2']
+
     def test_announced_stream_shows_another_version(self, clock):
         """One that is not listed here yet may have begun others too."""
 
