Test that an instance reads the records again after it stood still

Cause: the read of the records that an instance makes by itself after it did not run for a while came with without a test of its own.

Change: a table of clock readings, with and without an answer of the store, and how often the records are read.

--- a/tests/test_version_lookup.py
+++ b/tests/test_version_lookup.py
@@ -124,6 +124,12 @@
     return found.version
 
 
+async def settle():
+    """Let what was started in the background run to its end."""
+    for _ in range(10):
+        await asyncio.sleep(0)
+
+
 BEGUN = StreamBegun(stream_name(CALL), 'app', 'v2', START_S)
 OTHER = VersionServed('app', 'v2', START_S)
 
@@ -211,3 +217,31 @@
             return await resolved(versions)
 
         assert asyncio.run(scenario()) is None
+
+
+class TestProcessThatStoodStill:
+    """Test that what it may have missed is read before a caller asks."""
+
+    @pytest.mark.parametrize(
+        ('gaps_s', 'is_down', 'reads'),
+        [
+            pytest.param((0.4, 0.4, 0.4), False, 0, id='ran all the time'),
+            pytest.param((2.5, 0.4, 0.4), False, 1, id='stood still once'),
+            pytest.param((2.5, 0.4, 2.5), False, 2, id='stood still twice'),
+            pytest.param((2.5, 0.4, 0.4), True, 1, id='no answer yet'),
+            pytest.param((2.5, 0.4, 0.4, 0.4), True, 2, id='asks once more'),
+        ],
+    )
+    def test_reads_the_records_again(self, clock, gaps_s, is_down, reads):
+        """Without a take-up, at most once in ``READ_RETRY_S``."""
+
+        async def scenario():
+            records = Records(is_down=is_down)
+            versions = make(records)
+            for gap_s in gaps_s:
+                clock.now_s += gap_s
+                versions.refresh()
+                await settle()
+            return records.reads
+
+        assert asyncio.run(scenario()) == reads
