Send the address of a server with the slot that is granted on it

What callers saw: at an instance of the daemon that had just started, or shortly after servers were added, all requests got 502 with code 3007 (retry budget spent, not run) within 30 ms.

Cause: instances read the platform's list at different times. The broker's instance granted servers that this one had not read of; it found no address, sent nothing, and tried again at once until its 16 attempts were used. Ruled out: engines that do not listen yet (they accepted connections at that moment) and shrinking slot limits (all 96 retries were counted as failed connects, with the text "no address for backend server").

Change: a grant holds the address of its server, which is used where the own list lacks it.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -361,7 +361,7 @@
         opened = _open_event(self.name, 0)
         self.broker_client.ask(opened.ticket, self)
 
-    def granted(self, server: str) -> None:
+    def granted(self, grant: Granted) -> None:
         """Release the grant and open the next ticket, if any is left."""
         self.broker_client.release(self.name, failed=False)
         self.remaining -= 1
@@ -406,7 +406,7 @@
     """Return the bytes of the three messages of a ticket with their frames."""
     opened = _open_event('entry-1-1796000000000-1234567.0', 3)
     released = GrantReleased(opened.ticket.ticket_id)
-    granted = Granted(opened.ticket.ticket_id, 'entry-1', 'engine-12')
+    granted = _granted(opened.ticket.ticket_id)
     messages = (
         encode_event(opened, 0.0).ByteSize(),
         encode_event(released, 0.0).ByteSize(),
@@ -417,9 +417,13 @@
     return sum(messages) + frames
 
 
+def _granted(ticket_id: str) -> Granted:
+    return Granted(ticket_id, 'entry-1', 'engine-12', address='10.1.2.3:8000')
+
+
 def _message_sizes() -> dict[str, int]:
     opened = _open_event('entry-1-1796000000000-1234567.0', 3)
-    granted = Granted(opened.ticket.ticket_id, 'entry-1', 'engine-12')
+    granted = _granted(opened.ticket.ticket_id)
     return {
         'open': encode_event(opened, 0.0).ByteSize(),
         'granted': encode_command(granted).ByteSize(),
--- a/src/siskinpass/process/broker.py
+++ b/src/siskinpass/process/broker.py
@@ -368,6 +368,7 @@
                 server.view.name,
                 ticket.pieces,
                 unread,
+                server.view.address,
             ),
         )
         return True
--- a/src/siskinpass/process/broker_client.py
+++ b/src/siskinpass/process/broker_client.py
@@ -27,7 +27,7 @@
 class TicketListener(Protocol):
     """Callbacks for the decisions of a broker on one ticket."""
 
-    def granted(self, server: str) -> None:
+    def granted(self, grant: Granted) -> None:
         """Handle the grant of a slot on a backend server."""
 
     def refused(self, refusal: Refused) -> None:
@@ -171,7 +171,7 @@
             self._send(GrantReleased(command.ticket_id))
             return
         record.server = command.server
-        record.listener.granted(command.server)
+        record.listener.granted(command)
 
     @_handle_command.register
     def _handle_refused(self, command: Refused) -> None:
--- a/src/siskinpass/process/codec.py
+++ b/src/siskinpass/process/codec.py
@@ -114,6 +114,7 @@
     grant = pb.GrantMessage(
         ticket_id=command.ticket_id,
         server=command.server,
+        address=command.address,
     )
     return pb.BrokerMessage(granted=grant)
 
@@ -146,7 +147,12 @@
     kind = message.WhichOneof('kind')
     if kind == 'granted':
         granted = message.granted
-        return Granted(granted.ticket_id, entry, granted.server)
+        return Granted(
+            granted.ticket_id,
+            entry,
+            granted.server,
+            address=granted.address,
+        )
     if kind == 'paused':
         return Paused(message.paused, entry)
     if kind == 'moved':
--- a/src/siskinpass/process/run.py
+++ b/src/siskinpass/process/run.py
@@ -28,7 +28,7 @@
 from siskinpass.request.call import CHAT_PATH, Call
 from siskinpass.request.retry import RetryBudget
 from siskinpass.request.stream import TokenStreamParser
-from siskinpass.request.ticket import Refused, Ticket
+from siskinpass.request.ticket import Granted, Refused, Ticket
 from siskinpass.version.schema import ClassSettings
 
 MS_PER_S = 1000
@@ -133,7 +133,7 @@
         self._arrived_s = arrived_s
         self._loop = asyncio.get_running_loop()
         self._attempt: Attempt | None = None
-        self._slot: asyncio.Future[str] | None = None
+        self._slot: asyncio.Future[Granted] | None = None
         self._avoid = ''
         self._pause_count = 0
         self._events: list[bytes] = []
@@ -186,10 +186,10 @@
         body = error_body(error.code, str(error), error.retry_after_ms)
         self._caller.write_chunk(b'event: error\ndata: %b\n\n' % body)
 
-    def granted(self, server: str) -> None:
+    def granted(self, grant: Granted) -> None:
         """Continue with the slot that the broker granted on a server."""
         if self._slot is not None and not self._slot.done():
-            self._slot.set_result(server)
+            self._slot.set_result(grant)
 
     def refused(self, refusal: Refused) -> None:
         """End the request with the broker's refusal of its ticket."""
@@ -210,10 +210,10 @@
     async def _run_attempt(self, ticket_id: str) -> None:
         pool = self._call.class_settings.pool
         dispatcher = self._context.dispatcher
-        server = await self._wait_for_slot(ticket_id)
+        grant = await self._wait_for_slot(ticket_id)
         failed = True
         try:
-            await self._run_on(server)
+            await self._run_on(grant)
             failed = False
         except BackendError as error:
             failed = error.code not in NOT_SERVER_FAULTS
@@ -221,7 +221,7 @@
         finally:
             dispatcher.release(pool, ticket_id, failed=failed)
 
-    async def _wait_for_slot(self, ticket_id: str) -> str:
+    async def _wait_for_slot(self, ticket_id: str) -> Granted:
         class_settings = self._call.class_settings
         if not self._caller.is_open:
             raise CallerDisconnectedError(Code.stream_cut)
@@ -244,7 +244,7 @@
         self._slot = self._loop.create_future()
         try:
             self._context.dispatcher.ask(ticket, self)
-            server = await self._slot
+            grant = await self._slot
         except CallerDisconnectedError:
             self._context.dispatcher.withdraw(class_settings.pool, ticket_id)
             raise
@@ -252,10 +252,12 @@
             self._slot = None
         if not self.outcome.waited_ms:
             self.outcome.waited_ms = self._since_arrival_ms()
-        return server
+        return grant
 
-    async def _run_on(self, server: str) -> None:
-        address = self._context.address_of(server)
+    async def _run_on(self, grant: Granted) -> None:
+        server = grant.server
+        # The instance that runs the broker may have read a later list.
+        address = self._context.address_of(server) or grant.address
         self._avoid = server
         if not address:
             raise ConnectError(
--- a/src/siskinpass/request/ticket.py
+++ b/src/siskinpass/request/ticket.py
@@ -345,6 +345,8 @@
 class Granted:
     """A ticket may use one slot of a backend server.
 
+    :param address: ``host:port`` of the server as the broker knows it, empty
+        where the broker's build does not send it.
     :param pieces: parts of its prompt, which the server will have cached.
     :param unread: prompt tokens that the server has to prefill.
     """
@@ -354,6 +356,7 @@
     server: str
     pieces: tuple[PromptPiece, ...] = ()
     unread: int = 0
+    address: str = ''
 
 
 @dataclass(frozen=True, slots=True)
