Map large blocks one by one, so that freed bodies leave no holes

The account of held bytes was at 104 MB at most, yet the process grew to 395 MB of 300 under a crowd with bodies of 4 MB.

Cause: glibc raises the size from which it maps blocks one by one as such blocks are freed. Bodies that grow side by side are then moved about on its heap and leave holes there. Ruled out: bytes that are not counted (a sample of what all connections and their transports held agreed with the account) and unread answers (none).

--- a/src/siskinpass/process/fleet/serve.py
+++ b/src/siskinpass/process/fleet/serve.py
@@ -10,6 +10,7 @@
 
 import uvloop
 
+from siskinpass.process.allocator import return_large_blocks
 from siskinpass.process.build import build_name
 from siskinpass.process.fleet.listeners import EarlySockets
 from siskinpass.process.fleet.node import FleetNode
@@ -22,6 +23,7 @@
 
     :param early: sockets that listen already, by address.
     """
+    return_large_blocks()
     start_pipe_logs(sys.stdout.buffer, settings.name)
     ComponentLog('node').note(
         'The process starts.', instance=settings.name, build=build_name()
--- a/src/siskinpass/process/serve.py
+++ b/src/siskinpass/process/serve.py
@@ -12,6 +12,7 @@
 
 from siskinpass.codes import Code  # noqa: E402
 from siskinpass.exceptions import SettingsError  # noqa: E402
+from siskinpass.process.allocator import return_large_blocks
 from siskinpass.process.logs import start_logs
 from siskinpass.process.node import EntryNode
 from siskinpass.process.settings import Settings
@@ -23,6 +24,7 @@
     :raises SettingsError: if an operating system call fails, such as binding
         an address.
     """
+    return_large_blocks()
     start_logs()
     uvloop.run(_serve(settings))
 
