Decide about held bytes first, and tell the connections then

Beside 1,000 callers with bodies of 4 MB, ordinary requests that had run got no answer, and the process needed 321 to 1,261 MB of 300.

Cause: the account told connections to pause, go on or give up from amid its own bookings. They booked again, a level deeper for each connection, until a RecursionError left some of them half-way: paused and forgotten, or counted with nothing and not given up. A paused connection that was given up also counted once more, so that others were given up for it. Above the budget each booking sorted all connections.

Change: the account completes its books, and one loop tells connections what was decided; one that fails is closed, the others are told. A connection that is closing books nothing when it is told to go on.

--- a/src/siskinpass/connection/caller.py
+++ b/src/siskinpass/connection/caller.py
@@ -6,8 +6,9 @@
 
 from siskinpass.codes import Code
 from siskinpass.connection.byte_queue import ByteQueue
-from siskinpass.connection.held_bytes import SMALL_BYTES, HeldBytes, Stage
+from siskinpass.connection.held_bytes import HeldBytes
 from siskinpass.connection.held_connection import HeldConnection
+from siskinpass.connection.holdings import SMALL_BYTES, Stage
 from siskinpass.connection.parsing import MAX_HEADER_BYTES, ParseResult
 from siskinpass.connection.timer import Timer
 from siskinpass.exceptions import RequestError
--- a/src/siskinpass/connection/held_connection.py
+++ b/src/siskinpass/connection/held_connection.py
@@ -6,7 +6,8 @@
 from typing import Protocol
 
 from siskinpass.codes import Code
-from siskinpass.connection.held_bytes import SMALL_BYTES, HeldBytes, Stage
+from siskinpass.connection.held_bytes import HeldBytes
+from siskinpass.connection.holdings import SMALL_BYTES, Stage
 from siskinpass.connection.sockets import tune_socket
 from siskinpass.connection.timer import Timer
 from siskinpass.request.kept_body import Piece
@@ -103,7 +104,8 @@
         self._is_on_hold = on
         if self.on_writable is not None:
             self.on_writable(on=not (on or self._is_unread))
-        self._update()
+        if not self._transport.is_closing():
+            self._update()
 
     @abstractmethod
     def give_up(self, code: Code) -> None:
--- a/src/siskinpass/connection/http_caller.py
+++ b/src/siskinpass/connection/http_caller.py
@@ -8,8 +8,9 @@
 from types import MappingProxyType
 
 from siskinpass.codes import MEANINGS, Code
-from siskinpass.connection.held_bytes import SMALL_BYTES, HeldBytes, Stage
+from siskinpass.connection.held_bytes import HeldBytes
 from siskinpass.connection.held_connection import HeldConnection
+from siskinpass.connection.holdings import SMALL_BYTES, Stage
 from siskinpass.connection.request_reader import RequestCollector, request_cost
 from siskinpass.connection.timer import Timer
 from siskinpass.request.inbound import Header, WireRequest
--- a/src/siskinpass/process/caller_limits.py
+++ b/src/siskinpass/process/caller_limits.py
@@ -24,7 +24,7 @@
         self._log = ComponentLog('callers')
         self._logged_s: dict[Limited, float] = {}
         self._unlogged: dict[Limited, int] = {}
-        self.held = HeldBytes(limits, self._note)
+        self.held = HeldBytes(limits, self._note, on_fault=self._note_fault)
 
     def set_states(self) -> None:
         """Set the metrics that show what is held now."""
@@ -55,3 +55,8 @@
             held_bytes=self.held.total_bytes,
             connections=self.held.connections,
         )
+
+    def _note_fault(self, error: Exception) -> None:
+        self._log.warn(
+            'A connection has failed and is closed.', cause=repr(error)
+        )
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -7,13 +7,11 @@
 from siskinpass.codes import Code
 from siskinpass.connection.byte_queue import ByteQueue
 from siskinpass.connection.held_bytes import (
-    ACCEPTED_S,
-    SMALL_BYTES,
     HeldBytes,
     HoldLimits,
-    Stage,
     hold_limits,
 )
+from siskinpass.connection.holdings import ACCEPTED_S, SMALL_BYTES, Stage
 
 BUDGET = 10_000_000
 LARGE = 4_000_000
