--- a/src/siskinpass/connection/held_bytes.py
+++ b/src/siskinpass/connection/held_bytes.py
@@ -11,7 +11,7 @@
 
 import enum
 import time
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -115,7 +115,8 @@
         self._on_fault = on_fault or (lambda error: None)
         self._now_s = now_s
         self._holdings = Holdings()
-        self._paused: dict[Holder, None] = {}
+        self._paused: OrderedDict[Holder, None] = OrderedDict()
+        # What connections are to be told, in this order.
         self._due: deque[tuple[Holder, Callable[[], None]]] = deque()
         self._is_telling = False
 
@@ -177,7 +178,7 @@
         more_bytes = cost_bytes - own_bytes
         needed = self.total_bytes + more_bytes - budget
         if needed <= 0 or needed <= self._holdings.givable_bytes(
-            holder, is_small=is_small
+            holder, with_small=is_small
         ):
             self._shed(holder, cost_bytes, more_bytes)
             self._tell()
@@ -190,7 +191,6 @@
             self.total_bytes > self.limits.budget_bytes * PAUSE_SHARE
             and self._holdings.is_large(holder, holding.stage)
             and not holding.is_paused
-            # The first one goes on, so that always one gets done.
             and holder not in self._holdings.first_large
         ):
             holding.is_paused = True
@@ -231,11 +231,13 @@
         excess = self.total_bytes + more_bytes - self.limits.budget_bytes
         if excess <= 0:
             return
-        is_small = cause_bytes <= SMALL_BYTES
-        if self._holdings.givable_bytes(cause, is_small=is_small) < excess:
-            is_small = False
+        with_small = cause_bytes <= SMALL_BYTES
+        if self._holdings.givable_bytes(cause, with_small=with_small) < excess:
+            with_small = False
         given_up = []
-        for holder in self._holdings.giving_memory(cause, is_small=is_small):
+        for holder in self._holdings.giving_memory(
+            cause, with_small=with_small
+        ):
             given_up.append(holder)
             excess -= self._holdings.find(holder).held_bytes
             if excess <= 0:
--- a/src/siskinpass/connection/holdings.py
+++ b/src/siskinpass/connection/holdings.py
@@ -151,6 +151,7 @@
         }
         # In the order in which they became large.
         self._large = {stage: HolderLine() for stage in PAUSABLE}
+        # Those that are not settled, and closed ones among them.
         self._accepted: deque[Holder] = deque()
         self._progress = itertools.count()
 
@@ -160,7 +161,10 @@
 
     @property
     def first_large(self) -> frozenset[Holder]:
-        """Return those that have been large for longest, one a stage."""
+        """Return those that have been large for longest, one of each stage.
+
+        They are neither paused nor given up, so that always one gets done.
+        """
         firsts = (line.first for line in self._large.values())
         return frozenset(one for one in firsts if one is not None)
 
@@ -187,7 +191,8 @@
             return False
         self.total_bytes -= holding.held_bytes
         self._unlist(holder, holding)
-        self._large_lines_drop(holder)
+        for large in self._large.values():
+            large.drop(holder)
         return True
 
     def change(self, holder: Holder, stage: Stage, held_bytes: int) -> bool:
@@ -207,26 +212,26 @@
         self._list(holder, holding)
         return is_progress
 
-    def givable_bytes(self, cause: Holder, *, is_small: bool) -> int:
+    def givable_bytes(self, cause: Holder, *, with_small: bool) -> int:
         """Return what those hold together that give way to a connection.
 
-        :param is_small: whether small ones give way too.
+        :param with_small: whether small ones give way too.
         """
         kept = {cause, *self.first_large}
         return sum(
             line.held_bytes - sum(line.held_by(one) for one in kept)
-            for line in self._giving_lines(is_small=is_small)
+            for line in self._giving_lines(with_small=with_small)
         )
 
     def giving_memory(
-        self, cause: Holder, *, is_small: bool
+        self, cause: Holder, *, with_small: bool
     ) -> Iterator[Holder]:
         """Iterate over those that give way to a connection, in order.
 
-        :param is_small: whether small ones give way too.
+        :param with_small: whether small ones give way too.
         """
         kept = {cause, *self.first_large}
-        for line in self._giving_lines(is_small=is_small):
+        for line in self._giving_lines(with_small=with_small):
             for holder in line:
                 if holder not in kept and line.held_by(holder):
                     yield holder
@@ -240,15 +245,14 @@
         others = itertools.product((True, False), GIVING_ROOM)
         for place in (*leaving, *others):
             line = self._room[place]
-            # The one that was accepted can only be the first two of a line.
-            for holder in itertools.islice(line, 2):
-                if holder is not entered:
-                    return holder
+            found = next((one for one in line if one is not entered), None)
+            if found is not None:
+                return found
         return entered
 
-    def _giving_lines(self, *, is_small: bool) -> Iterator[HolderLine]:
-        for (is_line_small, _), line in self._memory.items():
-            if is_small or not is_line_small:
+    def _giving_lines(self, *, with_small: bool) -> Iterator[HolderLine]:
+        for (is_small, _), line in self._memory.items():
+            if with_small or not is_small:
                 yield line
 
     def _settle(self, now_s: float) -> None:
@@ -285,7 +289,3 @@
         memory = self._memory.get((holding.is_small, holding.stage))
         if memory is not None:
             memory.drop(holder)
-
-    def _large_lines_drop(self, holder: Holder) -> None:
-        for large in self._large.values():
-            large.drop(holder)
